--- /dev/null
+++ b/src/ragworthoist/_commands.py
@@ -0,0 +1,377 @@
+"""The command line.
+
+Exit codes: 0 done, 1 the command could not be carried out, 2 wrong usage, 3 bad
+settings or configuration, 4 another operator's change came first, 5 the store or
+a node did not answer.
+"""
+
+import getpass
+import json
+import signal
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+import anyio
+import defopt
+
+from ragworthoist._document import validate_document
+from ragworthoist._settings import load_settings
+from ragworthoist.exceptions import (
+    ConflictError,
+    DocumentError,
+    InputError,
+    OperatorsError,
+    RagworthoistError,
+    StoreError,
+)
+
+EXIT_FAILED = 1
+EXIT_INPUT = 3
+EXIT_CONFLICT = 4
+EXIT_UNREACHABLE = 5
+WAIT_SECONDS = 30.0
+WAIT_POLL_SECONDS = 0.5
+OPERATORS_TIMEOUT_SECONDS = 10.0
+
+_EXIT_CODES = (
+    (InputError, EXIT_INPUT),
+    (ConflictError, EXIT_CONFLICT),
+    (StoreError, EXIT_UNREACHABLE),
+    (OperatorsError, EXIT_UNREACHABLE),
+)
+
+
+def run_command(arguments=None):
+    """Run one command and return its exit code."""
+    commands = {
+        "node": run_node,
+        "check": check,
+        "defaults": {"show": show, "edit": edit, "apply": apply},
+        "exceptions": {"list": list_, "add": add, "remove": remove},
+        "status": status,
+        "dump": dump,
+        "version": version,
+    }
+    try:
+        defopt.run(commands, argv=arguments, cli_options="has_default")
+    except RagworthoistError as error:
+        print(f"{type(error).__name__}: {error}", file=sys.stderr)
+        for error_type, code in _EXIT_CODES:
+            if isinstance(error, error_type):
+                return code
+        return EXIT_FAILED
+    return 0
+
+
+def run_node(settings: Path):
+    """Run the node beside one backend server until it is told to leave.
+
+    :param settings: TOML file with the settings of the node
+    """
+    import eliot
+
+    from ragworthoist._node import Node
+
+    loaded = load_settings(settings)
+    if loaded.log.path:
+        eliot.to_file(open(loaded.log.path, "a"))  # noqa: SIM115
+    else:
+        eliot.to_file(sys.stderr)
+    options = {"use_uvloop": True}
+    anyio.run(_run_node, Node, loaded, backend="asyncio", backend_options=options)
+
+
+async def _run_node(node_type, settings):
+    node = node_type(settings)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_handle_signals, node)
+        await node.run()
+        tasks.cancel_scope.cancel()
+
+
+async def _handle_signals(node):
+    from ragworthoist.net.operators import dump_state
+
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+    with anyio.open_signal_receiver(*signals) as received:
+        async for number in received:
+            if number == signal.SIGUSR1:
+                print(json.dumps(dump_state(node)), file=sys.stderr, flush=True)
+            else:
+                node.start_leaving()
+
+
+def check(path: Path, *, configuration: bool = False):
+    """Check a settings file, or a configuration file, and report the first fault.
+
+    :param path: the TOML file to check
+    :param configuration: the file holds defaults and exceptions, not settings
+    """
+    if configuration:
+        validate_document(_read_toml(path), str(path))
+    else:
+        load_settings(path)
+    print(f"{path}: no fault found")
+
+
+def show(settings: Path, *, as_json: bool = False):
+    """Show the defaults in the store.
+
+    :param settings: TOML file with the settings of any node of the fleet
+    :param as_json: print for programs
+    """
+    document, _ = _with_store(settings, _read)
+    values = document.model_dump(mode="json")
+    if as_json:
+        _print_json({"version": document.version, "defaults": values["defaults"]})
+        return
+    print(f"version {document.version}")
+    kinds = values["defaults"].pop("kinds")
+    _print_table(("field", "value"), values["defaults"].items())
+    if kinds:
+        print()
+        _print_table(tuple(kinds[0]), (kind.values() for kind in kinds))
+
+
+def edit(settings: Path, *assignments: str, author: str = "", wait: bool = False):
+    """Change single fields of the defaults.
+
+    :param settings: TOML file with the settings of any node of the fleet
+    :param assignments: fields and values, such as retries=3 or order='"first_in"'
+    :param author: who makes the change, the login name by default
+    :param wait: report until every node has the change in force
+    """
+    changes = dict(_parse_assignment(text) for text in assignments)
+
+    def apply_changes(values):
+        values["defaults"] |= changes
+
+    _change(settings, apply_changes, author, " ".join(assignments), wait)
+
+
+def apply(settings: Path, path: Path, *, author: str = "", wait: bool = False):
+    """Replace all defaults and exceptions by those in a file.
+
+    :param settings: TOML file with the settings of any node of the fleet
+    :param path: TOML file with a `defaults` table and `exceptions`
+    :param author: who makes the change, the login name by default
+    :param wait: report until every node has the change in force
+    """
+    wanted = validate_document(_read_toml(path), str(path)).model_dump(mode="json")
+
+    def replace(values):
+        values["defaults"] = wanted["defaults"]
+        values["exceptions"] = wanted["exceptions"]
+
+    _change(settings, replace, author, f"apply {path.name}", wait)
+
+
+def list_(settings: Path, *, as_json: bool = False):
+    """List the exceptions with their reasons.
+
+    :param settings: TOML file with the settings of any node of the fleet
+    :param as_json: print for programs
+    """
+    document, _ = _with_store(settings, _read)
+    rules = [rule.model_dump(mode="json") for rule in document.exceptions]
+    if as_json:
+        _print_json(rules)
+        return
+    columns = ("name", "kind", "service", "set", "author", "expires", "reason")
+    _print_table(columns, ([rule[c] for c in columns] for rule in rules))
+
+
+def add(
+    settings: Path,
+    name: str,
+    *assignments: str,
+    reason: str,
+    kind: str = "",
+    service: str = "",
+    expires: str = "",
+    author: str = "",
+    wait: bool = False,
+):
+    """Add an exception to the defaults.
+
+    :param settings: TOML file with the settings of any node of the fleet
+    :param name: name of the exception
+    :param assignments: fields and values that it sets, such as deadline_ms=500
+    :param reason: why the exception is needed
+    :param kind: the kind of request it holds for
+    :param service: the service it holds for
+    :param expires: when it ends, such as 2026-01-31T12:00:00Z
+    :param author: who adds it, the login name by default
+    :param wait: report until every node has the change in force
+    """
+    rule = {
+        "name": name,
+        "reason": reason,
+        "author": author or getpass.getuser(),
+        "kind": kind or None,
+        "service": service or None,
+        "expires": expires or None,
+        "set": dict(_parse_assignment(text) for text in assignments),
+    }
+
+    def append(values):
+        values["exceptions"].append(rule)
+
+    _change(settings, append, author, f"add exception {name}: {reason}", wait)
+
+
+def remove(settings: Path, name: str, *, author: str = "", wait: bool = False):
+    """Remove an exception.
+
+    :param settings: TOML file with the settings of any node of the fleet
+    :param name: name of the exception
+    :param author: who removes it, the login name by default
+    :param wait: report until every node has the change in force
+    """
+
+    def drop(values):
+        kept = [rule for rule in values["exceptions"] if rule["name"] != name]
+        if len(kept) == len(values["exceptions"]):
+            names = [rule["name"] for rule in kept]
+            raise DocumentError("exceptions", "name", name, f"one of {names}")
+        values["exceptions"] = kept
+
+    _change(settings, drop, author, f"remove exception {name}", wait)
+
+
+def status(settings: Path, *, as_json: bool = False):
+    """Show members, configuration in force and outcomes as one node sees them.
+
+    :param settings: TOML file with the settings of that node
+    :param as_json: print for programs
+    """
+    report = anyio.run(_ask_operators, load_settings(settings), "/status")
+    if as_json:
+        _print_json(report)
+        return
+    print(f"node {report['instance']} of service {report['service']}")
+    print(f"configuration version {report['configuration']['version']}\n")
+    columns = ("service", "region", "failure_domain", "address", "state")
+    _print_table(columns, ([m[c] for c in columns] for m in report["members"]))
+    print()
+    columns = ("kind", "rank", "outcome", "reason", "count")
+    _print_table(columns, ([o[c] for c in columns] for o in report["outcomes"]))
+
+
+def dump(settings: Path):
+    """Print the whole state of one node.
+
+    :param settings: TOML file with the settings of that node
+    """
+    _print_json(anyio.run(_ask_operators, load_settings(settings), "/state"))
+
+
+def version():
+    """Print the version of the program."""
+    from ragworthoist import __version__
+
+    print(__version__)
+
+
+async def _read(store, fleet):
+    from ragworthoist._configuring import read_document
+
+    return await read_document(store, fleet)
+
+
+def _with_store(path, operation):
+    """Return what `operation(store, fleet name)` returns."""
+    settings = load_settings(path)
+
+    async def run():
+        from ragworthoist.store import open_store
+
+        async with open_store(settings.store) as store:
+            return await operation(store, settings.fleet.name)
+
+    return anyio.run(run)
+
+
+def _change(path, edit_values, author, summary, wait):
+    from ragworthoist._configuring import change_document
+
+    async def change(store, fleet):
+        return await change_document(
+            store, fleet, edit_values, author or getpass.getuser(), summary[:500]
+        )
+
+    document = _with_store(path, change)
+    print(f"accepted as version {document.version}")
+    if wait:
+        anyio.run(_wait_in_force, load_settings(path), document.version)
+
+
+async def _wait_in_force(settings, wanted):
+    started = time.monotonic()
+    while True:
+        survey = await _ask_operators(settings, "/survey")
+        versions = {int(v): count for v, count in survey["versions"].items()}
+        current = sum(count for v, count in versions.items() if v >= wanted)
+        lagging = sum(versions.values()) - current
+        elapsed = time.monotonic() - started
+        print(
+            f"{elapsed:5.1f} s: in force at {current}, behind {lagging}, "
+            f"silent {len(survey['silent'])}"
+        )
+        if not lagging and not survey["silent"]:
+            return
+        if elapsed > WAIT_SECONDS:
+            raise OperatorsError(
+                "fleet", f"{lagging} nodes behind after {elapsed:.0f} s"
+            )
+        await anyio.sleep(WAIT_POLL_SECONDS)
+
+
+async def _ask_operators(settings, path):
+    import httpx
+
+    host, port = settings.node.operators.pair
+    address = f"{host}:{port}"
+    headers = {"authorization": f"Bearer {settings.operators.token}"}
+    try:
+        async with httpx.AsyncClient(timeout=OPERATORS_TIMEOUT_SECONDS) as client:
+            response = await client.get(f"http://{address}{path}", headers=headers)
+    except httpx.HTTPError as error:
+        raise OperatorsError(address, repr(error)) from None
+    if response.status_code != 200:
+        raise OperatorsError(address, f"status {response.status_code}")
+    return response.json()
+
+
+def _read_toml(path):
+    try:
+        return tomllib.loads(path.read_text())
+    except OSError as error:
+        raise DocumentError(str(path), "file", error.strerror, "a file") from None
+    except tomllib.TOMLDecodeError as error:
+        raise DocumentError(str(path), "file", str(error), "TOML") from None
+
+
+def _parse_assignment(text):
+    key, separator, value = text.partition("=")
+    if not separator:
+        raise DocumentError("command line", text, text, "field=value")
+    try:
+        return key, json.loads(value)
+    except json.JSONDecodeError:
+        return key, value
+
+
+def _print_json(value):
+    print(json.dumps(value, indent=2))
+
+
+def _print_table(columns, rows):
+    rows = [[str(cell) for cell in row] for row in rows]
+    table = [list(columns), *rows]
+    widths = [max(len(row[i]) for row in table) for i in range(len(columns))]
+    for row in table:
+        line = "  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True))
+        print(line.rstrip())
--- /dev/null
+++ b/src/ragworthoist/_dispatching.py
@@ -0,0 +1,192 @@
+"""Attempts to have a call served by some endpoint of its service."""
+
+import os
+
+import anyio
+
+from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
+from ragworthoist.core.levels import HeldLevels
+from ragworthoist.core.retries import RetryBudget
+from ragworthoist.core.tickets import Ticket, open_ticket, seal_ticket
+from ragworthoist.exceptions import MalformedTicketError
+
+NONCE_BYTES = 12
+_ENDPOINT_FAILURES = frozenset(
+    {
+        Reason.PEER_UNREACHABLE,
+        Reason.PEER_LOST,
+        Reason.SERVER_UNREACHABLE,
+        Reason.SERVER_LOST,
+    }
+)
+
+
+class Dispatcher:
+    """Chooses endpoints, makes attempts, and repeats them within the bounds.
+
+    Parameters
+    ----------
+    node : object
+        Supplies `instance`, `key`, `clock`, `wall_clock`, `membership`, `router`,
+        `peers`, `serving` and `policy`.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self.held = HeldLevels()
+        self._budgets = {}
+
+    async def dispatch(self, call, allotment):
+        """Return the `Answer` to `call`, repeated as far as `allotment` allows."""
+        if call.ticket:
+            return await self._dispatch_ticketed(call, allotment)
+        node = self._node
+        budget = self._budget(call.service)
+        excluded = set()
+        last = None
+        while True:
+            now = node.clock()
+            if now >= call.deadline:
+                return last or refuse(Reason.DEADLINE, call)
+            endpoint, reason = self.choose(call, excluded, now)
+            if endpoint is None:
+                return last or refuse(reason, call, retryable=False)
+            answer = await self._attempt(endpoint, call, allotment)
+            if answer.outcome is Outcome.COMPLETED:
+                budget.record_success()
+                return answer
+            excluded.add(endpoint.instance)
+            last = answer
+            if not self._may_repeat(call, answer, allotment, budget):
+                return answer
+
+    def choose(self, call, excluded, now):
+        """Return (endpoint, None), or (None, reason) when none will take `call`."""
+        node = self._node
+        membership = node.membership
+        candidates = node.router.candidates(
+            call.service, membership.by_service, membership.version, excluded, now
+        )
+        if not candidates:
+            return None, Reason.NO_ENDPOINT
+        if node.policy.service(call.service).carry_levels:
+            candidates = self._accepting(candidates, call, now)
+            if not candidates:
+                return None, Reason.LEVEL
+        own = node.own_endpoint(call.service)
+        if own in candidates and not node.serving.admission.is_busy:
+            return own, None
+        return node.router.pick(candidates, now), None
+
+    def issue_ticket(self, call, now):
+        """Return a one-time ticket for `call`, or (None, reason) when refused."""
+        endpoint, reason = self.choose(call, (), now)
+        if endpoint is None:
+            return None, reason
+        expires = self._node.wall_clock() + self._node.policy.ticket_lifetime
+        ticket = Ticket(endpoint.instance, expires, os.urandom(NONCE_BYTES))
+        return seal_ticket(ticket, self._node.key), None
+
+    def _accepting(self, candidates, call, now):
+        levels = [
+            (self.held.level(member.instance, call.kind, now), member)
+            for member in candidates
+        ]
+        best = max(level for level, _ in levels)
+        self._node.serving.downstream.record(call.kind, call.service, best, now)
+        return [member for level, member in levels if call.draw < level]
+
+    async def _dispatch_ticketed(self, call, allotment):
+        node = self._node
+        try:
+            ticket = open_ticket(call.ticket, node.key)
+        except MalformedTicketError:
+            return refuse(Reason.TICKET_MALFORMED, call, retryable=False)
+        holder = node.membership.members.get(ticket.instance)
+        while holder is not None and node.clock() < call.deadline:
+            answer = await self._attempt(holder, call, allotment)
+            if answer.reason not in _ENDPOINT_FAILURES or not allotment.spend():
+                return _hide_early_refusal(answer)
+            # The same holder recognises the ticket, so a repeat cannot run twice.
+            await anyio.sleep(0)
+        return Answer(Outcome.UNKNOWN, Reason.TICKET_HOLDER_GONE)
+
+    async def _attempt(self, endpoint, call, allotment):
+        node = self._node
+        share = allotment.lend()
+        call.allotment = share
+        unused = 0
+        node.router.record_start(endpoint.instance)
+        answer = Answer(Outcome.UNKNOWN, Reason.CANCELLED)
+        try:
+            if endpoint.instance == node.instance:
+                answer = await self._serve_here(call)
+            else:
+                answer = await node.peers.call(endpoint, call)
+            unused = answer.unused
+        finally:
+            allotment.take_back(share, unused)
+            self._learn(endpoint, answer)
+        return answer
+
+    async def _serve_here(self, call):
+        done = anyio.Event()
+        answers = []
+
+        def reply(answer):
+            answers.append(answer)
+            done.set()
+
+        serving = self._node.serving
+        handle = serving.submit(call, reply)
+        if not answers:
+            try:
+                await done.wait()
+            finally:
+                if not answers and handle is not None:
+                    serving.cancel(handle)
+        return answers[0]
+
+    def _learn(self, endpoint, answer):
+        now = self._node.clock()
+        self._node.router.record_end(
+            endpoint.instance,
+            now,
+            failed=answer.reason in _ENDPOINT_FAILURES,
+            shed=answer.reason is Reason.SHED,
+            leaving=answer.reason is Reason.LEAVING,
+        )
+        self.held.hold(endpoint.instance, dict(answer.levels), now)
+
+    def _may_repeat(self, call, answer, allotment, budget):
+        if not answer.retryable:
+            return False
+        if answer.outcome is Outcome.UNKNOWN and not call.idempotent:
+            return False
+        if self._node.clock() >= call.deadline:
+            return False
+        if allotment.available <= 0 or not budget.withdraw():
+            return False
+        return allotment.spend()
+
+    def _budget(self, service):
+        ratio = self._node.policy.service(service).retry_budget
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(ratio)
+        budget.ratio = ratio
+        return budget
+
+
+def _hide_early_refusal(answer):
+    """Return `answer`, unknown unless the ticket's holder itself says not run.
+
+    A ticketed request may have reached its holder through another entrance, so
+    only the holder, which then refuses the ticket for good, can say not run.
+    """
+    if answer.outcome is Outcome.NOT_RUN and answer.reason in _UNPROVEN:
+        answer.outcome = Outcome.UNKNOWN
+    return answer
+
+
+_UNPROVEN = frozenset({Reason.PEER_UNREACHABLE, Reason.DEADLINE, Reason.CANCELLED})
--- /dev/null
+++ b/src/ragworthoist/_outcomes.py
@@ -0,0 +1,58 @@
+"""Counts of customer requests by kind, rank and outcome, for operators."""
+
+from bisect import bisect_left
+from dataclasses import dataclass, field
+
+from ragworthoist.core.entities import Outcome
+
+# Upper bounds of the latency classes, in seconds; the last class is open.
+LATENCY_BOUNDS_SECONDS = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+)
+
+
+def _zero_latencies():
+    return [0] * (len(LATENCY_BOUNDS_SECONDS) + 1)
+
+
+@dataclass(slots=True)
+class KindOutcomes:
+    """Outcomes of the requests of one kind at one rank."""
+
+    counts: dict = field(default_factory=dict)
+    latencies: list = field(default_factory=_zero_latencies)
+    seconds: float = 0.0
+
+
+class OutcomeTable:
+    """Outcomes of customer requests that entered at this node."""
+
+    def __init__(self):
+        self._kinds = {}
+
+    def record(self, kind, rank, answer, seconds):
+        """Count one request that ended after `seconds`."""
+        entry = self._kinds.get((kind, rank))
+        if entry is None:
+            entry = self._kinds[kind, rank] = KindOutcomes()
+        key = (answer.outcome, answer.reason)
+        entry.counts[key] = entry.counts.get(key, 0) + 1
+        if answer.outcome is Outcome.COMPLETED:
+            entry.latencies[bisect_left(LATENCY_BOUNDS_SECONDS, seconds)] += 1
+            entry.seconds += seconds
+
+    def rows(self):
+        """Yield (kind, rank, `KindOutcomes`) in order."""
+        for (kind, rank), entry in sorted(self._kinds.items()):
+            yield kind, rank, entry
--- /dev/null
+++ b/src/ragworthoist/_registry.py
@@ -0,0 +1,46 @@
+"""Registries that decorators fill, for behaviour that varies by name."""
+
+from ragworthoist.exceptions import RegistryError
+
+
+class Registry:
+    """Map names to classes or functions.
+
+    Parameters
+    ----------
+    holds : str
+        What the entries are, used in errors.
+
+    Examples
+    --------
+    >>> limits = Registry("limit")
+    >>> @limits.register("none")
+    ... class Unlimited:
+    ...     pass
+    >>> limits.get("none") is Unlimited
+    True
+    """
+
+    def __init__(self, holds):
+        self.holds = holds
+        self._entries = {}
+
+    def register(self, name):
+        """Return a decorator that enters its subject under `name`."""
+
+        def enter(subject):
+            self._entries[name] = subject
+            return subject
+
+        return enter
+
+    def get(self, name):
+        """Return the entry called `name` or raise `RegistryError`."""
+        try:
+            return self._entries[name]
+        except KeyError:
+            raise RegistryError(self.holds, name, self._entries) from None
+
+    def names(self):
+        """Return all names in order."""
+        return sorted(self._entries)
--- /dev/null
+++ b/src/ragworthoist/core/admission.py
@@ -0,0 +1,296 @@
+"""Admission of calls to one backend server.
+
+The one place of competition: a call is handed over, waits, or is refused. Ranks
+are strict: nothing is refused while a call of a lower rank waits. Within a rank
+the kinds share the server fairly by weight, and within a kind the draw of the
+customer request decides who is shed.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import IntEnum
+
+from ragworthoist._registry import Registry
+from ragworthoist.core.levels import LevelTable
+from ragworthoist.core.limits import limits
+
+orders = Registry("queue order")
+sheds = Registry("shedding rule")
+
+MIN_QUEUE = 8
+MAX_QUEUE = 2000
+QUEUE_PER_LIMIT = 1.0
+SERVICE_TIME_SMOOTHING = 0.05
+BASELINE_QUEUE = 1_000_000
+
+
+class EntryState(IntEnum):
+    """How far an entry has come; it moves forward only."""
+
+    WAITING = 0
+    RUNNING = 1
+    DONE = 2
+    SHED = 3
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One call in the admission table.
+
+    `notify` is called with the entry when it leaves the queue: its state is then
+    `RUNNING` (hand it over) or `SHED` (it will never run).
+    """
+
+    call: object
+    arrived: float
+    notify: object
+    state: EntryState = EntryState.WAITING
+    started: float = 0.0
+
+
+@orders.register("first_in")
+def take_first(queue, late):
+    """Take the call that has waited longest."""
+    return queue.popleft()
+
+
+@orders.register("newest_when_late")
+def take_newest_when_late(queue, late):
+    """Take the newest call when the queue is older than its target."""
+    return queue.pop() if late else queue.popleft()
+
+
+@orders.register("draw_when_late")
+def take_draw_when_late(queue, late):
+    """Take the call with the lowest draw when the queue is older than its target."""
+    if not late:
+        return queue.popleft()
+    entry = min(queue, key=_draw_of)
+    queue.remove(entry)
+    return entry
+
+
+@sheds.register("draw")
+def shed_draw(queue):
+    """Shed the call with the highest draw, the same one at every hop."""
+    return max(queue, key=_draw_of)
+
+
+@sheds.register("chance")
+def shed_newest(queue):
+    """Shed the newest call, which is arbitrary across hops; a baseline."""
+    return queue[-1]
+
+
+def _draw_of(entry):
+    return (entry.call.repeat, entry.call.draw)
+
+
+class _KindQueue:
+    __slots__ = ("rank", "name", "weight", "entries", "virtual_time")
+
+    def __init__(self, rank, name, weight):
+        self.rank = rank
+        self.name = name
+        self.weight = weight
+        self.entries = deque()
+        self.virtual_time = 0.0
+
+
+class _RankQueue:
+    """The kinds of one rank, sharing by weight with a virtual time each."""
+
+    __slots__ = ("kinds", "virtual_time", "length")
+
+    def __init__(self):
+        self.kinds = {}
+        self.virtual_time = 0.0
+        self.length = 0
+
+    def add(self, entry):
+        call = entry.call
+        kind = self.kinds.get(call.kind)
+        if kind is None:
+            kind = self.kinds[call.kind] = _KindQueue(call.rank, call.kind, call.weight)
+        kind.weight = call.weight
+        if not kind.entries:
+            kind.virtual_time = max(kind.virtual_time, self.virtual_time)
+        kind.entries.append(entry)
+        self.length += 1
+
+    def next_kind(self):
+        waiting = (kind for kind in self.kinds.values() if kind.entries)
+        return min(waiting, key=lambda kind: kind.virtual_time)
+
+    def charge(self, call, cost):
+        """Account server time used by a call that did not wait."""
+        kind = self.kinds.get(call.kind)
+        if kind is not None:
+            kind.virtual_time += cost / call.weight
+
+    def longest_kind(self):
+        return max(self.kinds.values(), key=lambda k: len(k.entries) / k.weight)
+
+
+class Admission:
+    """The admission table of one node.
+
+    Parameters
+    ----------
+    policy : ServicePolicy
+        How the service of this node is admitted.
+    """
+
+    def __init__(self, policy):
+        self.in_flight = 0
+        self.levels = LevelTable()
+        self.service_time = 0.0
+        self._ranks = {}
+        self._length = 0
+        self.apply(policy)
+
+    def apply(self, policy):
+        """Put another `ServicePolicy` in force; what waits or runs is kept."""
+        previous = getattr(self, "policy", None)
+        self.policy = policy
+        self._take = orders.get(policy.order)
+        self._shed = sheds.get(policy.shed)
+        limit_key = (policy.limit, policy.fixed_limit)
+        if previous is None or (previous.limit, previous.fixed_limit) != limit_key:
+            self.limiter = limits.get(policy.limit)(policy)
+
+    def __len__(self):
+        return self._length
+
+    @property
+    def is_busy(self):
+        """Whether an arriving call would have to wait."""
+        return self._length > 0 or self.in_flight >= self.limiter.limit
+
+    @property
+    def capacity(self):
+        """Number of calls that may wait."""
+        if not self.policy.rank_order:
+            return BASELINE_QUEUE
+        wanted = self.limiter.limit * QUEUE_PER_LIMIT
+        return int(max(MIN_QUEUE, min(MAX_QUEUE, wanted)))
+
+    def offer(self, entry, now):
+        """Take `entry` in; its `notify` is called now or later."""
+        call = entry.call
+        if now + self.service_time >= call.deadline:
+            self._refuse(entry)
+            return
+        if self.in_flight < self.limiter.limit and not self._length:
+            self.levels.record(call.kind, False)
+            self._start(entry, now)
+            return
+        self._enqueue(entry)
+        if self._length <= self.capacity:
+            self.levels.record(call.kind, False)
+            return
+        self._displace(entry)
+
+    def withdraw(self, entry):
+        """Remove a waiting `entry`; return whether it had not been handed over."""
+        if entry.state is not EntryState.WAITING:
+            return entry.state is EntryState.SHED
+        self._remove(entry)
+        entry.state = EntryState.SHED
+        return True
+
+    def finish(self, entry, now, ok=True):
+        """Account the end of a call that was handed over."""
+        entry.state = EntryState.DONE
+        latency = now - entry.started
+        self.limiter.record(latency, self.in_flight, ok, now)
+        self.in_flight -= 1
+        if ok:
+            change = latency - self.service_time
+            self.service_time += SERVICE_TIME_SMOOTHING * change
+        self.start_waiting(now)
+
+    def abandon(self, entry, now):
+        """Free the place of a call whose hand-over turned out not to happen."""
+        entry.state = EntryState.DONE
+        self.in_flight -= 1
+        self.start_waiting(now)
+
+    def start_waiting(self, now):
+        """Hand over waiting calls while the limit allows."""
+        while self._length and self.in_flight < self.limiter.limit:
+            entry = self._take_next(now)
+            if now + self.service_time >= entry.call.deadline:
+                self._shed_entry(entry)
+            else:
+                self._start(entry, now)
+
+    def tick(self, now):
+        """Drop what can no longer be served in time and adjust the levels."""
+        for rank in self._ranks.values():
+            for kind in rank.kinds.values():
+                self._drop_late(kind, now)
+        self.start_waiting(now)
+        self.levels.tick(now)
+
+    def _drop_late(self, kind, now):
+        latest = now + self.service_time
+        late = [entry for entry in kind.entries if entry.call.deadline <= latest]
+        for entry in late:
+            self._remove(entry)
+            self._shed_entry(entry)
+
+    def _start(self, entry, now):
+        entry.state = EntryState.RUNNING
+        entry.started = now
+        self.in_flight += 1
+        entry.notify(entry)
+
+    def _refuse(self, entry):
+        self.levels.record(entry.call.kind, True)
+        entry.state = EntryState.SHED
+        entry.notify(entry)
+
+    def _shed_entry(self, entry):
+        self.levels.record_late_shed(entry.call.kind)
+        entry.state = EntryState.SHED
+        entry.notify(entry)
+
+    def _rank_of(self, call):
+        return call.rank if self.policy.rank_order else 0
+
+    def _enqueue(self, entry):
+        rank = self._ranks.get(self._rank_of(entry.call))
+        if rank is None:
+            rank = self._ranks[self._rank_of(entry.call)] = _RankQueue()
+        rank.add(entry)
+        self._length += 1
+
+    def _remove(self, entry):
+        rank = self._ranks[self._rank_of(entry.call)]
+        rank.kinds[entry.call.kind].entries.remove(entry)
+        rank.length -= 1
+        self._length -= 1
+
+    def _displace(self, arrival):
+        lowest = max(index for index, rank in self._ranks.items() if rank.length)
+        kind = self._ranks[lowest].longest_kind()
+        victim = self._shed(kind.entries)
+        self._remove(victim)
+        if victim is arrival:
+            self._refuse(arrival)
+            return
+        self.levels.record(arrival.call.kind, False)
+        self._shed_entry(victim)
+
+    def _take_next(self, now):
+        urgent = min(index for index, rank in self._ranks.items() if rank.length)
+        rank = self._ranks[urgent]
+        kind = rank.next_kind()
+        late = now - kind.entries[0].arrived > self.policy.queue_time
+        entry = self._take(kind.entries, late)
+        rank.virtual_time = kind.virtual_time
+        kind.virtual_time += 1.0 / kind.weight
+        rank.length -= 1
+        self._length -= 1
+        return entry
--- /dev/null
+++ b/src/ragworthoist/core/membership.py
@@ -0,0 +1,478 @@
+"""Membership without a list: probes, suspicion and piggybacked updates.
+
+Every node probes one other node per interval, directly and then through helpers,
+and attaches news of members to the datagrams it sends anyway. The load per node
+is therefore constant whatever the size of the fleet. Dead addresses are
+remembered and probed slowly, so that a healed network joins both sides again.
+"""
+
+import math
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+import xxhash
+
+PROBE_INTERVAL_SECONDS = 1.0
+ACK_TIMEOUT_SECONDS = 0.3
+SUSPICION_SECONDS = 4.0
+PAUSE_SECONDS = 2.0
+DEAD_PROBE_INTERVAL_SECONDS = 3.0
+DEAD_RETENTION_SECONDS = 6 * 3600.0
+SYNC_INTERVAL_SECONDS = 5.0
+INDIRECT_PROBES = 3
+UPDATES_PER_DATAGRAM = 6
+TRANSMISSIONS_FACTOR = 3
+HINT_FANOUT = 3
+WATCHERS_PER_DOMAIN = 2
+
+
+class MemberState(IntEnum):
+    """State of a member; of two records with one incarnation the higher wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+    LEFT = 4
+
+
+class MessageKind(IntEnum):
+    """Kinds of datagrams."""
+
+    PING = 0
+    ACK = 1
+    PING_REQUEST = 2
+    MISMATCH = 3
+    HINT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One node as the fleet knows it.
+
+    `instance` is drawn anew at each start of the process; `host` and `port` are
+    its address for peers, the same for streams and datagrams.
+    """
+
+    instance: bytes
+    service: str
+    region: str
+    domain: str
+    host: str
+    port: int
+    incarnation: int = 0
+    state: MemberState = MemberState.ALIVE
+
+    def pack(self):
+        """Return the record as a list for the wire."""
+        return [
+            self.instance,
+            self.service,
+            self.region,
+            self.domain,
+            self.host,
+            self.port,
+            self.incarnation,
+            int(self.state),
+        ]
+
+    @classmethod
+    def unpack(cls, record):
+        """Return the member in a list made by `pack`."""
+        return cls(*record[:7], MemberState(record[7]))
+
+    @property
+    def address(self):
+        """(host, port) for streams and datagrams."""
+        return self.host, self.port
+
+    @property
+    def is_present(self):
+        """Whether the node counts as a running part of the fleet."""
+        return self.state < MemberState.DEAD
+
+
+@dataclass(slots=True)
+class Message:
+    """One datagram between nodes."""
+
+    kind: MessageKind
+    sender: bytes
+    sequence: int
+    target: bytes
+    configuration_version: int
+    digest: int
+    updates: list
+    relay: list
+
+    def pack(self):
+        """Return the message as a list for the wire."""
+        updates = [member.pack() for member in self.updates]
+        return [
+            int(self.kind),
+            self.sender,
+            self.sequence,
+            self.target,
+            self.configuration_version,
+            self.digest,
+            updates,
+            self.relay,
+        ]
+
+    @classmethod
+    def unpack(cls, fields):
+        """Return the message in a list made by `pack`."""
+        kind, sender, sequence, target, version, digest, updates, relay = fields
+        members = [Member.unpack(record) for record in updates]
+        return cls(
+            MessageKind(kind), sender, sequence, target, version, digest, members, relay
+        )
+
+
+@dataclass(slots=True)
+class _Probe:
+    target: Member
+    sequence: int
+    started: float
+    relayed: bool = False
+
+
+@dataclass(slots=True)
+class _Relay:
+    requester: tuple
+    sequence: int
+    expires: float
+
+
+class Membership:
+    """The table of members as one node sees it, and the probes that maintain it.
+
+    Datagrams to send are returned as (message, address) pairs.
+    """
+
+    def __init__(self, node, random, now):
+        self.node = node
+        self.configuration_version = 0
+        self.version = 0
+        self.members = {}
+        self.by_service = {}
+        self.sync_wanted = None
+        self.newer_configuration = None
+        self.versions = {}
+        self.distrusts_itself = False
+        self._random = random
+        self._transmissions = {}
+        self._suspected = {}
+        self._dead_since = {}
+        self._probe = None
+        self._order = []
+        self._sequence = 0
+        self._relays = {}
+        self._last_tick = now
+        self._next_probe = now
+        self._next_dead_probe = now
+        self._next_sync = now
+        self._digest = 0
+        self._store(node, now)
+
+    def tick(self, now):
+        """Run probes and verdicts that are due; return datagrams to send."""
+        out = []
+        if now - self._last_tick > PAUSE_SECONDS:
+            self._recover_from_pause(now)
+        self._last_tick = now
+        self._judge_suspects(now)
+        self._advance_probe(now, out)
+        if now >= self._next_probe:
+            self._next_probe = now + PROBE_INTERVAL_SECONDS
+            self._start_probe(now, out)
+        if now >= self._next_dead_probe:
+            self._next_dead_probe = now + DEAD_PROBE_INTERVAL_SECONDS
+            self._probe_dead(now, out)
+        return out
+
+    def receive(self, message, address, now):
+        """Take in one datagram; return datagrams to send."""
+        out = []
+        self.merge(message.updates, now)
+        self._note_versions(message, now)
+        if message.kind is MessageKind.PING:
+            self._answer_ping(message, address, out)
+        elif message.kind is MessageKind.ACK:
+            self._accept_ack(message, now, out)
+        elif message.kind is MessageKind.PING_REQUEST:
+            self._relay_ping(message, address, now, out)
+        elif message.kind is MessageKind.MISMATCH:
+            self._accept_mismatch(message, now)
+        return out
+
+    def merge(self, members, now):
+        """Take in records of members from a datagram or a full exchange."""
+        for member in members:
+            self._merge_one(member, now)
+
+    def leave(self, now):
+        """Mark this node as leaving; return datagrams that tell others."""
+        return self._announce(MemberState.LEAVING, now)
+
+    def depart(self, now):
+        """Mark this node as gone for good; return datagrams that tell others."""
+        return self._announce(MemberState.LEFT, now)
+
+    def hint(self):
+        """Return datagrams that tell a few nodes of a new configuration."""
+        peers = self.peers()
+        chosen = self._random.sample(peers, min(HINT_FANOUT, len(peers)))
+        return [self._make(MessageKind.HINT, member) for member in chosen]
+
+    def ask(self, members):
+        """Return datagrams that make `members` answer with what they have."""
+        return [self._make(MessageKind.PING, member) for member in members]
+
+    def peers(self):
+        """Return the other members that are present."""
+        own = self.node.instance
+        return [m for m in self.members.values() if m.is_present and m.instance != own]
+
+    def snapshot(self):
+        """Return records of all members, for a full exchange."""
+        return [member.pack() for member in self.members.values()]
+
+    def watchers(self):
+        """Return the members chosen to watch the store, a few in each domain."""
+        by_domain = {}
+        for member in self.members.values():
+            if member.state <= MemberState.SUSPECT:
+                by_domain.setdefault(member.domain, []).append(member)
+        chosen = []
+        for group in by_domain.values():
+            group.sort(key=lambda m: xxhash.xxh3_64_intdigest(m.instance))
+            chosen += group[:WATCHERS_PER_DOMAIN]
+        return chosen
+
+    @property
+    def is_watcher(self):
+        """Whether this node is chosen to watch the store."""
+        own = self.node.instance
+        return any(member.instance == own for member in self.watchers())
+
+    def _announce(self, state, now):
+        self.node = replace(
+            self.node, state=state, incarnation=self.node.incarnation + 1
+        )
+        self._store(self.node, now)
+        peers = self.peers()
+        chosen = self._random.sample(peers, min(2 * HINT_FANOUT, len(peers)))
+        return [self._make(MessageKind.PING, member) for member in chosen]
+
+    def _recover_from_pause(self, now):
+        # What happened during the pause says nothing about others: suspicions
+        # start again and no verdict falls before a probe has been answered.
+        self.distrusts_itself = True
+        self._probe = None
+        for instance in self._suspected:
+            self._suspected[instance] = now
+
+    def _judge_suspects(self, now):
+        if self.distrusts_itself:
+            return
+        for instance, since in list(self._suspected.items()):
+            if now - since < SUSPICION_SECONDS:
+                continue
+            member = self.members.get(instance)
+            self._suspected.pop(instance)
+            if member is not None and member.state is MemberState.SUSPECT:
+                self._store(replace(member, state=MemberState.DEAD), now)
+
+    def _advance_probe(self, now, out):
+        probe = self._probe
+        if probe is None:
+            return
+        elapsed = now - probe.started
+        if not probe.relayed and elapsed >= ACK_TIMEOUT_SECONDS:
+            probe.relayed = True
+            self._ask_helpers(probe, out)
+        elif elapsed >= PROBE_INTERVAL_SECONDS:
+            self._probe = None
+            self._suspect(probe.target.instance, now)
+
+    def _ask_helpers(self, probe, out):
+        helpers = [m for m in self.peers() if m.instance != probe.target.instance]
+        chosen = self._random.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
+        relay = [probe.target.instance, probe.target.host, probe.target.port]
+        for helper in chosen:
+            out.append(
+                self._make(
+                    MessageKind.PING_REQUEST, helper, probe.sequence, relay=relay
+                )
+            )
+
+    def _suspect(self, instance, now):
+        member = self.members.get(instance)
+        if member is None or self.distrusts_itself:
+            return
+        if member.state is MemberState.ALIVE:
+            self._store(replace(member, state=MemberState.SUSPECT), now)
+        elif member.state is MemberState.LEAVING:
+            self._store(replace(member, state=MemberState.DEAD), now)
+
+    def _start_probe(self, now, out):
+        if self._probe is not None:
+            return
+        target = self._next_target()
+        if target is None:
+            return
+        self._sequence += 1
+        self._probe = _Probe(target, self._sequence, now)
+        out.append(self._make(MessageKind.PING, target, self._sequence))
+
+    def _next_target(self):
+        while self._order:
+            member = self.members.get(self._order.pop())
+            if member is not None and member.is_present and member != self.node:
+                return member
+        self._order = [member.instance for member in self.peers()]
+        self._random.shuffle(self._order)
+        if not self._order:
+            return None
+        return self.members[self._order.pop()]
+
+    def _probe_dead(self, now, out):
+        for instance, since in list(self._dead_since.items()):
+            if now - since > DEAD_RETENTION_SECONDS:
+                del self._dead_since[instance]
+                self.members.pop(instance, None)
+                self.versions.pop(instance, None)
+        dead = [
+            self.members[instance]
+            for instance in self._dead_since
+            if self.members[instance].state is MemberState.DEAD
+        ]
+        if dead:
+            out.append(self._make(MessageKind.PING, self._random.choice(dead)))
+
+    def _answer_ping(self, message, address, out):
+        matches = message.target in (b"", self.node.instance)
+        kind = MessageKind.ACK if matches else MessageKind.MISMATCH
+        reply = self._message(kind, message.sender, message.sequence)
+        if not matches:
+            reply.updates.append(self.node)
+            reply.relay = [message.target]
+        out.append((reply, address))
+
+    def _accept_ack(self, message, now, out):
+        self.distrusts_itself = False
+        relay = self._relays.pop(message.sequence, None)
+        if relay is not None and now < relay.expires:
+            answer = self._message(MessageKind.ACK, b"", relay.sequence)
+            out.append((answer, relay.requester))
+        probe = self._probe
+        if probe is not None and probe.sequence == message.sequence:
+            self._probe = None
+
+    def _accept_mismatch(self, message, now):
+        # Another process answers at that address, so the probed one is gone.
+        member = self.members.get(message.relay[0]) if message.relay else None
+        if member is not None and member.is_present and member != self.node:
+            self._store(replace(member, state=MemberState.DEAD), now)
+        if self._probe is not None and self._probe.sequence == message.sequence:
+            self._probe = None
+
+    def _relay_ping(self, message, address, now, out):
+        instance, host, port = message.relay
+        self._sequence += 1
+        self._relays[self._sequence] = _Relay(
+            address, message.sequence, now + PROBE_INTERVAL_SECONDS
+        )
+        self._relays = {s: r for s, r in self._relays.items() if r.expires > now}
+        ping = self._message(MessageKind.PING, instance, self._sequence)
+        out.append((ping, (host, port)))
+
+    def _merge_one(self, member, now):
+        if member.instance == self.node.instance:
+            self._refute(member, now)
+            return
+        known = self.members.get(member.instance)
+        if known is None:
+            self._store(member, now)
+            return
+        ours = (known.incarnation, known.state)
+        if (member.incarnation, member.state) > ours:
+            self._store(member, now)
+
+    def _refute(self, member, now):
+        ours = (self.node.incarnation, self.node.state)
+        if (member.incarnation, member.state) > ours:
+            self.node = replace(self.node, incarnation=member.incarnation + 1)
+            self._store(self.node, now)
+
+    def _note_versions(self, message, now):
+        self.versions[message.sender] = message.configuration_version
+        if message.configuration_version > self.configuration_version:
+            self.newer_configuration = message.sender
+        idle = not self._transmissions and now >= self._next_sync
+        if idle and message.digest != self._digest and message.sender in self.members:
+            self._next_sync = now + SYNC_INTERVAL_SECONDS
+            self.sync_wanted = message.sender
+
+    def _store(self, member, now):
+        known = self.members.get(member.instance)
+        self.members[member.instance] = member
+        self._transmissions[member.instance] = 0
+        self._digest ^= _digest_of(known) ^ _digest_of(member)
+        if member.state is MemberState.SUSPECT:
+            self._suspected.setdefault(member.instance, now)
+        else:
+            self._suspected.pop(member.instance, None)
+        if member.is_present:
+            self._dead_since.pop(member.instance, None)
+        else:
+            self._dead_since.setdefault(member.instance, now)
+        if known is None or known.state != member.state:
+            self._rebuild_services()
+
+    def _rebuild_services(self):
+        self.version += 1
+        by_service = {}
+        for member in self.members.values():
+            if member.state <= MemberState.SUSPECT:
+                by_service.setdefault(member.service, []).append(member)
+        self.by_service = by_service
+
+    def _make(self, kind, member, sequence=0, relay=()):
+        message = self._message(kind, member.instance, sequence, list(relay))
+        if member.state is not MemberState.ALIVE:
+            # A node that is thought dead must hear of it to refute it.
+            message.updates.insert(0, member)
+        return message, member.address
+
+    def _message(self, kind, target, sequence, relay=()):
+        return Message(
+            kind,
+            self.node.instance,
+            sequence,
+            target,
+            self.configuration_version,
+            self._digest,
+            self._pick_updates(),
+            list(relay),
+        )
+
+    def _pick_updates(self):
+        queue = self._transmissions
+        if not queue:
+            return []
+        limit = TRANSMISSIONS_FACTOR * math.ceil(math.log2(len(self.members) + 2))
+        chosen = sorted(queue, key=queue.get)[:UPDATES_PER_DATAGRAM]
+        for instance in chosen:
+            queue[instance] += 1
+            if queue[instance] >= limit:
+                del queue[instance]
+        return [self.members[i] for i in chosen if i in self.members]
+
+
+def _digest_of(member):
+    if member is None or not member.is_present:
+        return 0
+    seed = member.incarnation * 8 + int(member.state is MemberState.LEAVING)
+    return xxhash.xxh3_64_intdigest(member.instance, seed=seed)
--- /dev/null
+++ b/src/ragworthoist/core/policy.py
@@ -0,0 +1,140 @@
+"""The configuration in force, compiled for quick lookup on the path of a call."""
+
+from dataclasses import dataclass
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+
+
+@dataclass(frozen=True, slots=True)
+class KindPolicy:
+    """How requests of one kind are treated."""
+
+    name: str
+    rank: int
+    deadline: float
+    weight: float
+    idempotent: bool | None
+    retries: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePolicy:
+    """How the nodes beside one service admit and repeat calls."""
+
+    limit: str
+    fixed_limit: int
+    order: str
+    shed: str
+    queue_time: float
+    retry_budget: float
+    carry_levels: bool
+    rank_order: bool
+
+
+class Policy:
+    """Lookup of kinds and service policies for one configuration document.
+
+    Parameters
+    ----------
+    document : ragworthoist.Document
+        The accepted document.
+    now : datetime, optional
+        The time at which exceptions are judged expired, now by default.
+    """
+
+    def __init__(self, document, now=None):
+        self.document = document
+        self.version = document.version
+        defaults = document.defaults
+        self.ranks = defaults.ranks
+        self.ticket_lifetime = float(defaults.ticket_seconds)
+        self.tickets = defaults.tickets
+        self._rules = document.active_exceptions(now)
+        self._services = {}
+        self._kinds = {}
+        self._by_service = {}
+        for kind in defaults.kinds:
+            self._by_service.setdefault(kind.service, []).append(kind)
+        for kinds in self._by_service.values():
+            kinds.sort(key=lambda kind: (len(kind.path_prefix), kind.method != "*"))
+            kinds.reverse()
+
+    def classify(self, service, method, path):
+        """Return the `KindPolicy` of a request.
+
+        A request that matches no configured kind belongs to a kind named after
+        its service, with the rank, deadline and retries of the defaults.
+        """
+        kind = self._match(service, method, path)
+        key = (service, kind.name if kind else None)
+        found = self._kinds.get(key)
+        if found is None:
+            found = self._kinds[key] = self._compile_kind(service, kind)
+        return found
+
+    def is_idempotent(self, service, method, path):
+        """Return whether a request may be run more than once."""
+        kind = self.classify(service, method, path)
+        if kind.idempotent is None:
+            return method in IDEMPOTENT_METHODS
+        return kind.idempotent
+
+    def service(self, name):
+        """Return the `ServicePolicy` of the service called `name`."""
+        found = self._services.get(name)
+        if found is None:
+            found = self._services[name] = self._compile_service(name)
+        return found
+
+    @property
+    def lowest_rank(self):
+        """Index of the least urgent rank."""
+        return len(self.ranks) - 1
+
+    def _match(self, service, method, path):
+        for kind in self._by_service.get(service, ()):
+            if kind.method not in ("*", method):
+                continue
+            if path.startswith(kind.path_prefix):
+                return kind
+        return None
+
+    def _overrides(self, service, kind):
+        merged = {}
+        for rule in self._rules:
+            if rule.service not in (None, service):
+                continue
+            if rule.kind is not None and rule.kind != kind:
+                continue
+            merged |= rule.set
+        return merged
+
+    def _compile_kind(self, service, kind):
+        defaults = self.document.defaults
+        name = kind.name if kind else service
+        overrides = self._overrides(service, name)
+        rank = kind.rank if kind else defaults.rank or self.ranks[-1]
+        deadline_ms = kind.deadline_ms if kind else defaults.deadline_ms
+        return KindPolicy(
+            name=name,
+            rank=self.ranks.index(overrides.get("rank", rank)),
+            deadline=overrides.get("deadline_ms", deadline_ms) / 1000,
+            weight=overrides.get("weight", kind.weight if kind else 1.0),
+            idempotent=kind.idempotent if kind else None,
+            retries=overrides.get("retries", defaults.retries),
+        )
+
+    def _compile_service(self, name):
+        defaults = self.document.defaults
+        overrides = self._overrides(name, None)
+        values = defaults.model_dump(exclude={"kinds"}) | overrides
+        return ServicePolicy(
+            limit=values["limit"],
+            fixed_limit=values["fixed_limit"],
+            order=values["order"],
+            shed=values["shed"],
+            queue_time=values["queue_ms"] / 1000,
+            retry_budget=values["retry_budget"],
+            carry_levels=values["carry_levels"],
+            rank_order=values["rank_order"],
+        )
--- /dev/null
+++ b/src/ragworthoist/core/retries.py
@@ -0,0 +1,82 @@
+"""Bounds on repeated attempts: allotments per customer request, budgets per service.
+
+An `Allotment` is granted once at the entrance. Each hop lends part of what it
+holds to its onward calls and takes back what they did not use; an answer that is
+lost counts as spent. The total of available, lent and spent never changes, so the
+number of repeats in the whole call chain cannot pass the grant.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Allotment:
+    """Repeats that one hop may still make for a customer request.
+
+    Examples
+    --------
+    >>> allotment = Allotment(3)
+    >>> allotment.lend()
+    2
+    >>> allotment.take_back(2, unused=1)
+    >>> allotment.available, allotment.spent
+    (2, 1)
+    """
+
+    available: int
+    lent: int = 0
+    spent: int = 0
+
+    def spend(self):
+        """Use one repeat; return False when none is available."""
+        if self.available <= 0:
+            return False
+        self.available -= 1
+        self.spent += 1
+        return True
+
+    def lend(self):
+        """Return the number of repeats that an onward call may use.
+
+        Half of what is available, rounded up, so that calls made side by side
+        each get some.
+        """
+        share = (self.available + 1) // 2
+        self.available -= share
+        self.lent += share
+        return share
+
+    def take_back(self, share, unused):
+        """Settle a loan of `share` of which the callee reports `unused`."""
+        unused = max(0, min(share, unused))
+        self.lent -= share
+        self.available += unused
+        self.spent += share - unused
+
+
+class RetryBudget:
+    """Repeats that a node may make towards one service.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed per successful call.
+    """
+
+    FLOOR = 10.0
+    CAP = 100.0
+
+    def __init__(self, ratio):
+        self.ratio = ratio
+        self.tokens = self.FLOOR
+
+    def record_success(self):
+        """Earn a share of a repeat."""
+        self.tokens = min(self.CAP, self.tokens + self.ratio)
+
+    def withdraw(self):
+        """Use one repeat; return False when the budget is empty."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/ragworthoist/core/tickets.py
@@ -0,0 +1,128 @@
+"""One-time tickets: a non-idempotent request runs at most once.
+
+A ticket names the one process incarnation that may run the request, and that
+incarnation remembers the outcome until the ticket has expired on its own clock.
+Membership, the store and clocks of other machines take no part in the argument.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgpack
+
+from ragworthoist.exceptions import ExpiredTicketError, MalformedTicketError
+
+MAX_LIFETIME_SECONDS = 600.0
+MAX_KEPT_BODY_BYTES = 65_536
+_DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Leave to run one request once, at one incarnation of one endpoint."""
+
+    instance: bytes
+    expires: float
+    nonce: bytes
+
+
+class TicketState(IntEnum):
+    """How far a ticketed request has come."""
+
+    WAITING = 0
+    RUNNING = 1
+    DONE = 2
+    VOID = 3
+
+
+@dataclass(slots=True)
+class TicketRecord:
+    """What the named incarnation remembers of a ticket."""
+
+    expires: float
+    fingerprint: bytes
+    state: TicketState = TicketState.WAITING
+    answer: object = None
+    waiter: object = None
+
+
+def seal_ticket(ticket, key):
+    """Return `ticket` as text, authenticated with the fleet's `key` (bytes)."""
+    payload = msgpack.packb([ticket.instance, ticket.expires, ticket.nonce])
+    digest = hashlib.blake2b(payload, key=key, digest_size=_DIGEST_BYTES).digest()
+    return base64.urlsafe_b64encode(digest + payload).rstrip(b"=")
+
+
+def open_ticket(text, key):
+    """Return the `Ticket` in `text`.
+
+    Raises
+    ------
+    MalformedTicketError
+        If `text` does not parse or was not sealed with `key`.
+    """
+    try:
+        padded = text + b"=" * (-len(text) % 4)
+        sealed = base64.b64decode(padded, altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError):
+        raise MalformedTicketError from None
+    digest, payload = sealed[:_DIGEST_BYTES], sealed[_DIGEST_BYTES:]
+    expected = hashlib.blake2b(payload, key=key, digest_size=_DIGEST_BYTES).digest()
+    if not hmac.compare_digest(digest, expected):
+        raise MalformedTicketError
+    instance, expires, nonce = msgpack.unpackb(payload)
+    return Ticket(instance, expires, nonce)
+
+
+class TicketTable:
+    """Tickets that this incarnation has seen, until they expire.
+
+    All times are seconds of one clock that never runs backwards within the life
+    of the incarnation: a record is forgotten only once its ticket is refused as
+    expired by the same clock.
+    """
+
+    def __init__(self, instance):
+        self.instance = instance
+        self._records = {}
+
+    def __len__(self):
+        return len(self._records)
+
+    def enter(self, ticket, fingerprint, now):
+        """Return (record, first): the record of `ticket`, and whether it is new.
+
+        Raises
+        ------
+        ExpiredTicketError
+            If the ticket has expired or lives longer than any ticket may.
+        """
+        if not now < ticket.expires <= now + MAX_LIFETIME_SECONDS:
+            raise ExpiredTicketError(ticket.expires, now)
+        record = self._records.get(ticket.nonce)
+        if record is not None:
+            return record, False
+        record = TicketRecord(ticket.expires, fingerprint)
+        self._records[ticket.nonce] = record
+        return record, True
+
+    def expire(self, now):
+        """Forget settled records whose tickets can no longer be used."""
+        gone = [
+            nonce
+            for nonce, record in self._records.items()
+            if record.expires <= now and record.state >= TicketState.DONE
+        ]
+        for nonce in gone:
+            del self._records[nonce]
+
+    def count_states(self):
+        """Return the number of records in each state, by name."""
+        counts = {state.name.lower(): 0 for state in TicketState}
+        for record in self._records.values():
+            counts[record.state.name.lower()] += 1
+        return counts
--- /dev/null
+++ b/src/ragworthoist/events.py
@@ -0,0 +1,38 @@
+"""Numbered log events.
+
+Every line that a process logs is one of these events. `docs/EVENTS.md` is the
+catalogue for operators; a test keeps the two alike.
+"""
+
+from enum import IntEnum
+
+import eliot
+
+
+class Event(IntEnum):
+    """All events by number."""
+
+    NODE_STARTED = 100
+    NODE_SERVING = 101
+    NODE_LEAVING = 102
+    NODE_STOPPED = 103
+    SERVER_ANNOUNCED = 110
+    SERVER_DRAINING = 111
+    MEMBER_CHANGED = 200
+    NODE_WAS_PAUSED = 201
+    DATAGRAM_REFUSED = 202
+    PEER_CONNECTED = 210
+    PEER_LOST = 211
+    PEER_REFUSED = 212
+    CONFIGURATION_ADOPTED = 300
+    CONFIGURATION_REFUSED = 301
+    CONFIGURATION_OLDER = 302
+    STORE_UNAVAILABLE = 310
+    STORE_AVAILABLE = 311
+    LIMIT_CHANGED = 400
+    TASK_FAILED = 900
+
+
+def log_event(event, **fields):
+    """Write `event` with its number and `fields` to the structured log."""
+    eliot.log_message(f"ragworthoist:{event.name.lower()}", number=int(event), **fields)
--- /dev/null
+++ b/src/ragworthoist/net/backend.py
@@ -0,0 +1,100 @@
+"""The HTTP client towards the backend server beside this node."""
+
+import aiohttp
+from yarl import URL
+
+from ragworthoist.core.entities import Answer, Outcome, Reason
+from ragworthoist.net.frames import MAX_BODY_BYTES
+from ragworthoist.net.web import DEADLINE, NOT_RUN, REQUEST, forward_headers
+
+KEEPALIVE_SECONDS = 4.0
+RETRYABLE_STATUSES = frozenset({502, 503, 504})
+_SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class BackendClient:
+    """Hands calls over to one backend server.
+
+    Parameters
+    ----------
+    address : tuple
+        (host, port) of the backend server.
+    """
+
+    def __init__(self, address):
+        host, port = address
+        self._base = f"http://{host}:{port}"
+        self._session = None
+
+    async def __aenter__(self):
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=_SKIPPED,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        # aiohttp repeats idempotent requests on a closed kept-alive connection.
+        # Such a repeat would pass the allotment by, so it is switched off.
+        self._session._retry_connection = False
+        return self
+
+    async def __aexit__(self, *_exception):
+        await self._session.close()
+
+    async def send(self, call, token, remaining):
+        """Run `call` on the server and return the `Answer`.
+
+        The only answers that say not run are those for which no byte has reached
+        the server, and those in which the server itself says so for this `token`.
+        """
+        headers = [(n.decode("latin1"), v.decode("latin1")) for n, v in call.headers]
+        headers.append((REQUEST.decode(), token))
+        headers.append((DEADLINE.decode(), str(int(remaining * 1000))))
+        try:
+            async with self._session.request(
+                call.method,
+                URL(self._base + call.target, encoded=True),
+                data=call.body or None,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=remaining),
+            ) as response:
+                body = await self._read(response)
+                return _judge(response, body, token)
+        except aiohttp.ClientConnectorError:
+            return Answer(Outcome.NOT_RUN, Reason.SERVER_UNREACHABLE)
+        except TimeoutError:
+            return Answer(Outcome.UNKNOWN, Reason.DEADLINE)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return Answer(Outcome.UNKNOWN, Reason.SERVER_LOST)
+
+    async def _read(self, response):
+        declared = response.content_length
+        if declared is not None and declared > MAX_BODY_BYTES:
+            return None
+        if declared is not None:
+            return await response.read()
+        body = bytearray()
+        async for part in response.content.iter_any():
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                return None
+        return bytes(body)
+
+
+def _judge(response, body, token):
+    if body is None:
+        return Answer(Outcome.UNKNOWN, Reason.TOO_LARGE, retryable=False)
+    status = response.status
+    if status == 503 and response.headers.get(NOT_RUN.decode()) == token:
+        return Answer(Outcome.NOT_RUN, Reason.SERVER_REFUSED, status)
+    headers = forward_headers(
+        (name.lower(), value) for name, value in response.raw_headers
+    )
+    if status < 500:
+        return Answer(Outcome.COMPLETED, Reason.ANSWERED, status, headers, body)
+    retryable = status in RETRYABLE_STATUSES
+    return Answer(
+        Outcome.UNKNOWN, Reason.SERVER_ERROR, status, headers, body, 0, retryable
+    )
--- /dev/null
+++ b/src/ragworthoist/net/datagrams.py
@@ -0,0 +1,67 @@
+"""The UDP socket that carries gossip."""
+
+import anyio
+
+from ragworthoist.events import Event, log_event
+from ragworthoist.exceptions import ProtocolError
+from ragworthoist.net.frames import MAX_DATAGRAM_BYTES, open_datagram, seal_datagram
+
+
+class Datagrams:
+    """Sends and receives authenticated gossip messages.
+
+    Parameters
+    ----------
+    address : tuple
+        (host, port) to bind.
+    key : bytes
+        The fleet's key.
+    """
+
+    def __init__(self, address, key):
+        self._address = address
+        self._key = key
+        self._socket = None
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.refused = 0
+
+    async def __aenter__(self):
+        host, port = self._address
+        self._socket = await anyio.create_udp_socket(local_host=host, local_port=port)
+        return self
+
+    async def __aexit__(self, *_exception):
+        await self._socket.aclose()
+
+    async def send(self, outgoing):
+        """Send (message, address) pairs; what cannot be sent counts as lost."""
+        for message, (host, port) in outgoing:
+            data = seal_datagram(message, self._key)
+            while len(data) > MAX_DATAGRAM_BYTES and message.updates:
+                message.updates.pop()
+                data = seal_datagram(message, self._key)
+            try:
+                await self._socket.sendto(data, host, port)
+            except (OSError, anyio.BrokenResourceError):
+                continue
+            self.sent += 1
+            self.sent_bytes += len(data)
+
+    async def receive(self, handle):
+        """Pass each valid message to `handle` with the address of its sender."""
+        async for data, address in self._socket:
+            try:
+                message = open_datagram(data, self._key, f"{address[0]}:{address[1]}")
+            except ProtocolError as error:
+                self._refuse(error)
+                continue
+            self.received += 1
+            await handle(message, (address[0], address[1]))
+
+    def _refuse(self, error):
+        self.refused += 1
+        # One event for each power of two, so that a flood does not fill the log.
+        if self.refused & (self.refused - 1) == 0:
+            log_event(Event.DATAGRAM_REFUSED, count=self.refused, error=str(error))
--- /dev/null
+++ b/src/ragworthoist/net/entrance.py
@@ -0,0 +1,307 @@
+"""HTTP towards customers, and towards the backend server's onward calls.
+
+Both are ASGI applications with one job: turn a request into a `Call`, have it
+dispatched, and turn the `Answer` into a response that names its outcome.
+"""
+
+import os
+
+import anyio
+
+from ragworthoist._serving import fingerprint_call
+from ragworthoist.core.entities import Answer, Call, Outcome, Reason, draw_from, refuse
+from ragworthoist.core.retries import Allotment
+from ragworthoist.net.frames import MAX_BODY_BYTES
+from ragworthoist.net.web import (
+    DEADLINE,
+    MAX_HEADER_BYTES,
+    OUTCOME,
+    REASON,
+    REQUEST,
+    STEP,
+    TICKET,
+    BodyTooLargeError,
+    CallerGoneError,
+    find_header,
+    forward_headers,
+    read_body,
+    respond,
+)
+
+REQUEST_ID_BYTES = 16
+CONTROL_PREFIX = "/.ragworthoist/"
+RETRY_AFTER_SECONDS = (1, 3)
+UNKNOWN_CONTEXT_DEADLINE_SECONDS = 1.0
+
+_STATUS = {
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.MALFORMED: 400,
+    Reason.TOO_LARGE: 413,
+    Reason.TICKET_REQUIRED: 428,
+    Reason.TICKET_MALFORMED: 400,
+    Reason.TICKET_REUSED: 409,
+    Reason.TICKET_VOID: 409,
+    Reason.TICKET_EXPIRED: 410,
+    Reason.TICKET_HOLDER_GONE: 502,
+    Reason.REPEAT_REFUSED: 409,
+    Reason.PEER_LOST: 502,
+    Reason.SERVER_LOST: 502,
+    Reason.DEADLINE: 504,
+}
+_UNAVAILABLE = 503
+
+
+class _Application:
+    """What customers' and servers' sides of a node have in common."""
+
+    def __init__(self, node):
+        self._node = node
+
+    async def __call__(self, scope, receive, send):
+        """Serve one HTTP request; other scopes are not spoken."""
+        if scope["type"] != "http":
+            return
+        headers = scope["headers"]
+        if sum(len(n) + len(v) for n, v in headers) > MAX_HEADER_BYTES:
+            await self._respond(send, refuse(Reason.TOO_LARGE), status=431)
+            return
+        if self._declares_too_much(headers):
+            await self._respond(send, refuse(Reason.TOO_LARGE))
+            return
+        try:
+            body = await read_body(receive, MAX_BODY_BYTES)
+        except BodyTooLargeError:
+            await self._respond(send, refuse(Reason.TOO_LARGE))
+            return
+        except CallerGoneError:
+            return
+        await self._serve(scope, receive, send, body)
+
+    def _declares_too_much(self, headers):
+        declared = find_header(headers, b"content-length")
+        return declared.isdigit() and int(declared) > MAX_BODY_BYTES
+
+    def _target(self, scope):
+        target = scope["raw_path"].decode("ascii", "replace")
+        if scope["query_string"]:
+            target += "?" + scope["query_string"].decode("ascii", "replace")
+        return target
+
+    async def _run_until_gone(self, receive, operation):
+        """Return the result of `operation`, None when the caller has left."""
+        with anyio.CancelScope() as scope:
+            self._node.tasks.start_soon(_cancel_when_gone, receive, scope)
+            return await operation
+        return None
+
+    async def _respond(self, send, answer, status=None, extra=()):
+        status = status or answer.status or _STATUS.get(answer.reason, _UNAVAILABLE)
+        headers = [
+            *answer.headers,
+            (OUTCOME, answer.outcome.label.encode()),
+            (REASON, answer.reason.value.encode()),
+            *extra,
+        ]
+        if status == _UNAVAILABLE and answer.outcome is Outcome.NOT_RUN:
+            seconds = self._node.random.randint(*RETRY_AFTER_SECONDS)
+            headers.append((b"retry-after", b"%d" % seconds))
+        if self._node.serving.leaving:
+            headers.append((b"connection", b"close"))
+        await respond(send, status, headers, answer.body)
+
+
+async def _cancel_when_gone(receive, scope):
+    # uvicorn answers with a disconnect once the response is complete, too.
+    message = await receive()
+    while message["type"] != "http.disconnect":
+        message = await receive()
+    scope.cancel()
+
+
+class Entrance(_Application):
+    """The customers' side: settles what a request is, once for the whole chain."""
+
+    async def _serve(self, scope, receive, send, body):
+        node = self._node
+        node.open_requests += 1
+        started = node.clock()
+        try:
+            call, kind = self._make_call(scope, body)
+            if call is None:
+                answer = refuse(kind)
+                await self._respond(send, answer)
+                return
+            answer, extra = await self._answer(call, kind, receive)
+            if answer is not None:
+                await self._respond(send, answer, extra=extra)
+        finally:
+            node.open_requests -= 1
+        if answer is not None:
+            node.record_request(call, answer, node.clock() - started)
+
+    def _make_call(self, scope, body):
+        node = self._node
+        path = scope["path"]
+        service = path.split("/", 2)[1] if "/" in path else ""
+        if node.policy is None:
+            return None, Reason.NO_CONFIGURATION
+        if service not in node.membership.by_service:
+            return None, Reason.UNKNOWN_ROUTE
+        kind = node.policy.classify(service, scope["method"], path)
+        request_id = os.urandom(REQUEST_ID_BYTES)
+        headers = scope["headers"]
+        call = Call(
+            request_id=request_id,
+            kind=kind.name,
+            rank=kind.rank,
+            weight=kind.weight,
+            deadline=node.clock() + self._time_left(headers, kind),
+            draw=draw_from(request_id),
+            allotment=kind.retries,
+            service=service,
+            method=scope["method"],
+            target=self._target(scope),
+            headers=forward_headers(headers),
+            body=body,
+            idempotent=node.policy.is_idempotent(service, scope["method"], path),
+            ticket=find_header(headers, TICKET),
+        )
+        return call, kind
+
+    def _time_left(self, headers, kind):
+        asked = find_header(headers, DEADLINE)
+        if asked.isdigit():
+            return min(kind.deadline, int(asked) / 1000)
+        return kind.deadline
+
+    async def _answer(self, call, kind, receive):
+        if call.deadline <= self._node.clock():
+            return refuse(Reason.DEADLINE), ()
+        needs_ticket = self._node.policy.tickets and not call.idempotent
+        if needs_ticket and not call.ticket:
+            return self._offer_ticket(call, Reason.TICKET_REQUIRED)
+        if not needs_ticket:
+            call.ticket = b""
+        operation = self._node.dispatcher.dispatch(call, Allotment(kind.retries))
+        answer = await self._run_until_gone(receive, operation)
+        if answer is None:
+            return None, ()
+        if needs_ticket and answer.outcome is Outcome.NOT_RUN:
+            _, extra = self._offer_ticket(call, answer.reason)
+            return answer, extra
+        return answer, ()
+
+    def _offer_ticket(self, call, reason):
+        ticket, refusal = self._node.dispatcher.issue_ticket(call, self._node.clock())
+        if ticket is None:
+            return refuse(refusal), ()
+        return refuse(reason), ((TICKET, ticket),)
+
+
+class OnwardExit(_Application):
+    """The server's side: onward calls inherit the context of their request."""
+
+    async def _serve(self, scope, receive, send, body):
+        if scope["path"].startswith(CONTROL_PREFIX):
+            await self._control(scope["path"], send)
+            return
+        node = self._node
+        if node.policy is None:
+            await self._respond(send, refuse(Reason.NO_CONFIGURATION))
+            return
+        token = find_header(scope["headers"], REQUEST).decode("ascii", "replace")
+        inbound = node.serving.find(token)
+        call = self._make_call(scope, body, inbound)
+        if call is None:
+            await self._respond(send, refuse(Reason.UNKNOWN_ROUTE))
+            return
+        if inbound is None:
+            operation = node.dispatcher.dispatch(call, Allotment(0))
+        else:
+            step = find_header(scope["headers"], STEP)
+            operation = self._dispatch_for(inbound, call, step)
+        answer = await self._run_until_gone(receive, operation)
+        if answer is not None:
+            await self._respond(send, answer)
+
+    async def _control(self, path, send):
+        action = path.removeprefix(CONTROL_PREFIX)
+        if action == "announce":
+            self._node.announce_server()
+        elif action == "drain":
+            self._node.start_leaving()
+        else:
+            await respond(send, 404)
+            return
+        await respond(send, 204)
+
+    def _make_call(self, scope, body, inbound):
+        node = self._node
+        path = scope["path"]
+        service = path.split("/", 2)[1] if "/" in path else ""
+        if service not in node.membership.by_service:
+            return None
+        method = scope["method"]
+        common = {
+            "service": service,
+            "method": method,
+            "target": self._target(scope),
+            "headers": forward_headers(scope["headers"]),
+            "body": body,
+            "idempotent": node.policy.is_idempotent(service, method, path),
+            "allotment": 0,
+        }
+        if inbound is not None:
+            origin = inbound.call
+            return Call(
+                request_id=origin.request_id,
+                kind=origin.kind,
+                rank=origin.rank,
+                weight=origin.weight,
+                deadline=origin.deadline,
+                draw=origin.draw,
+                repeat=origin.repeat,
+                **common,
+            )
+        # Without a known request there is nothing to inherit.
+        request_id = os.urandom(REQUEST_ID_BYTES)
+        return Call(
+            request_id=request_id,
+            kind="unknown",
+            rank=node.policy.lowest_rank,
+            weight=1.0,
+            deadline=node.clock() + UNKNOWN_CONTEXT_DEADLINE_SECONDS,
+            draw=draw_from(request_id),
+            **common,
+        )
+
+    async def _dispatch_for(self, inbound, call, step):
+        fingerprint = fingerprint_call(call, step)
+        earlier = inbound.onward.get(fingerprint)
+        if earlier is not None:
+            refusal = self._judge_repeat(inbound, call, earlier)
+            if refusal is not None:
+                return refusal
+        pending = Answer(Outcome.UNKNOWN, Reason.CANCELLED)
+        inbound.onward[fingerprint] = pending
+        answer = await self._node.dispatcher.dispatch(call, inbound.allotment)
+        inbound.onward[fingerprint] = answer
+        if answer.outcome is Outcome.NOT_RUN:
+            inbound.onward_refused = True
+        else:
+            inbound.onward_ran = True
+            if answer.outcome is Outcome.UNKNOWN:
+                inbound.onward_refused = inbound.onward_refused or not answer.retryable
+        return answer
+
+    def _judge_repeat(self, inbound, call, earlier):
+        """Return how a repeat by the server itself is answered, None to let it go."""
+        if earlier.outcome is Outcome.COMPLETED:
+            # Equal calls that went well are separate ones when they may be
+            # repeated; otherwise the first answer stands for both.
+            return None if call.idempotent else earlier
+        if earlier.outcome is Outcome.UNKNOWN and not call.idempotent:
+            return refuse(Reason.REPEAT_REFUSED, retryable=False)
+        if not inbound.allotment.spend():
+            return refuse(Reason.REPEAT_REFUSED, retryable=False)
+        return None
--- /dev/null
+++ b/src/ragworthoist/net/operators.py
@@ -0,0 +1,181 @@
+"""The operators' address: state dump, status and metrics of one node."""
+
+import hmac
+import json
+
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus.formats import text
+
+from ragworthoist._outcomes import LATENCY_BOUNDS_SECONDS
+from ragworthoist.core.limits import MAX_LIMIT
+from ragworthoist.net.web import find_header, respond
+
+_JSON = [(b"content-type", b"application/json")]
+
+
+class Operators:
+    """ASGI application for operators; every request needs the token."""
+
+    def __init__(self, node):
+        self._node = node
+        self._token = b"Bearer " + node.settings.operators.token.encode()
+        self._routes = {
+            "/health": self._health,
+            "/state": self._state,
+            "/status": self._status,
+            "/metrics": self._metrics,
+            "/survey": self._survey,
+        }
+
+    async def __call__(self, scope, _receive, send):
+        """Serve one HTTP request."""
+        if scope["type"] == "lifespan":
+            return
+        if scope["type"] != "http":
+            return
+        given = find_header(scope["headers"], b"authorization")
+        if not hmac.compare_digest(given, self._token):
+            await _respond_json(send, 401, {"error": "missing or wrong token"})
+            return
+        route = self._routes.get(scope["path"])
+        if route is None:
+            await _respond_json(send, 404, {"error": "unknown path"})
+            return
+        await route(send)
+
+    async def _health(self, send):
+        serving = self._node.policy is not None and not self._node.serving.leaving
+        await _respond_json(send, 200 if serving else 503, {"serving": serving})
+
+    async def _state(self, send):
+        await _respond_json(send, 200, dump_state(self._node))
+
+    async def _status(self, send):
+        await _respond_json(send, 200, report_status(self._node))
+
+    async def _survey(self, send):
+        await _respond_json(send, 200, await self._node.survey())
+
+    async def _metrics(self, send):
+        body = text.TextFormatter().marshal(collect_metrics(self._node))
+        await respond(send, 200, [(b"content-type", b"text/plain")], body)
+
+
+async def _respond_json(send, status, value):
+    body = json.dumps(value).encode()
+    await respond(send, status, _JSON, body)
+
+
+def report_status(node):
+    """Return members, configuration in force and outcomes as plain values."""
+    policy = node.policy
+    history = policy.document.history if policy else []
+    return {
+        "instance": node.instance.hex(),
+        "service": node.settings.node.service,
+        "failure_domain": node.settings.node.failure_domain,
+        "leaving": node.serving.leaving,
+        "configuration": {
+            "version": node.configuration.version,
+            "change_id": history[-1].change_id if history else "",
+        },
+        "members": [_describe_member(m) for m in node.membership.members.values()],
+        "outcomes": list(_describe_outcomes(node)),
+    }
+
+
+def dump_state(node):
+    """Return the whole state of a node's tables as plain values."""
+    admission = node.serving.admission
+    now = node.clock()
+    return report_status(node) | {
+        "uptime_seconds": now - node.started,
+        "admission": {
+            "limit": min(admission.limiter.limit, MAX_LIMIT),
+            "in_flight": admission.in_flight,
+            "waiting": len(admission),
+            "capacity": admission.capacity,
+            "service_time_seconds": admission.service_time,
+            "levels": admission.levels.lowered(),
+        },
+        "tickets": node.serving.tickets.count_states(),
+        "inbound": len(node.serving.inbound),
+        "in_progress": node.in_progress,
+        "peer_streams": len(node.peers),
+        "ejected": node.router.count_ejected(now),
+        "is_watcher": node.membership.is_watcher,
+        "watchers": [m.instance.hex() for m in node.membership.watchers()],
+        "datagrams": {
+            "sent": node.datagrams.sent,
+            "sent_bytes": node.datagrams.sent_bytes,
+            "received": node.datagrams.received,
+            "refused": node.datagrams.refused,
+        },
+        "document": policy.document.model_dump(mode="json")
+        if (policy := node.policy)
+        else None,
+    }
+
+
+def collect_metrics(node):
+    """Return an aioprometheus registry filled from the node's tables."""
+    registry = Registry()
+    requests = Counter("ragworthoist_requests_total", "Customer requests by outcome")
+    latency = Counter("ragworthoist_completed_below_total", "Completed, by latency")
+    limit = Gauge("ragworthoist_limit", "Calls handed to the server at once")
+    in_flight = Gauge("ragworthoist_in_flight", "Calls running at the server")
+    waiting = Gauge("ragworthoist_waiting", "Calls waiting for the server")
+    version = Gauge("ragworthoist_configuration_version", "Version in force")
+    members = Gauge("ragworthoist_members", "Members by state")
+    for collector in (requests, latency, limit, in_flight, waiting, version, members):
+        registry.register(collector)
+    _collect_outcomes(node, requests, latency)
+    limit.set({}, min(node.serving.admission.limiter.limit, MAX_LIMIT))
+    in_flight.set({}, node.serving.admission.in_flight)
+    waiting.set({}, len(node.serving.admission))
+    version.set({}, node.configuration.version)
+    for member in node.membership.members.values():
+        members.inc({"state": member.state.name.lower()})
+    return registry
+
+
+def _collect_outcomes(node, requests, latency):
+    for kind, rank, entry in node.outcomes.rows():
+        labels = {"kind": kind, "rank": _rank_name(node, rank)}
+        for (outcome, reason), count in entry.counts.items():
+            found = labels | {"outcome": outcome.label, "reason": reason.value}
+            requests.set(found, count)
+        total = 0
+        bounds = [*map(str, LATENCY_BOUNDS_SECONDS), "+Inf"]
+        for bound, count in zip(bounds, entry.latencies, strict=True):
+            total += count
+            latency.set(labels | {"le": bound}, total)
+
+
+def _describe_member(member):
+    return {
+        "instance": member.instance.hex(),
+        "service": member.service,
+        "region": member.region,
+        "failure_domain": member.domain,
+        "address": f"{member.host}:{member.port}",
+        "state": member.state.name.lower(),
+        "incarnation": member.incarnation,
+    }
+
+
+def _describe_outcomes(node):
+    for kind, rank, entry in node.outcomes.rows():
+        for (outcome, reason), count in sorted(entry.counts.items()):
+            yield {
+                "kind": kind,
+                "rank": _rank_name(node, rank),
+                "outcome": outcome.label,
+                "reason": reason.value,
+                "count": count,
+            }
+
+
+def _rank_name(node, rank):
+    ranks = node.policy.ranks
+    return ranks[rank] if rank < len(ranks) else str(rank)
--- /dev/null
+++ b/src/ragworthoist/net/peers.py
@@ -0,0 +1,129 @@
+"""The streams of one node: opened lazily, one for each peer."""
+
+import anyio
+
+from ragworthoist.core.entities import Reason, refuse
+from ragworthoist.events import Event, log_event
+from ragworthoist.net.streams import PeerStream
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+RECONNECT_PAUSE_SECONDS = 0.2
+
+
+class _Registration:
+    """Enters a stream in the table as soon as its handshake is done."""
+
+    def __init__(self, table, stream, task_status):
+        self._table = table
+        self._stream = stream
+        self._task_status = task_status
+
+    def started(self, value=None):
+        self._table.register(self._stream)
+        self._task_status.started(value)
+
+
+class PeerTable:
+    """All peer streams of a node, by the instance at the other end."""
+
+    def __init__(self, host, clock):
+        self._host = host
+        self._clock = clock
+        self._streams = {}
+        self._opening = {}
+        self._failed = {}
+        self._tasks = None
+
+    def __len__(self):
+        return len(self._streams)
+
+    async def serve(self, address, tasks, task_status=anyio.TASK_STATUS_IGNORED):
+        """Accept streams at `address` until cancelled."""
+        self._tasks = tasks
+        host, port = address
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        async with listener:
+            task_status.started()
+            await listener.serve(self._accept)
+
+    async def stream_to(self, member):
+        """Return a stream to `member`, or None when it cannot be reached."""
+        stream = self._streams.get(member.instance)
+        if stream is not None:
+            return stream
+        if self._failed.get(member.instance, 0.0) > self._clock():
+            return None
+        opening = self._opening.get(member.instance)
+        if opening is None:
+            opening = self._opening[member.instance] = anyio.Event()
+            self._tasks.start_soon(self._open, member, opening)
+        await opening.wait()
+        return self._streams.get(member.instance)
+
+    async def open_to(self, member):
+        """Return a stream to the address of `member`, whoever answers there."""
+        if member.instance:
+            return await self.stream_to(member)
+        with anyio.move_on_after(CONNECT_TIMEOUT_SECONDS):
+            return await self._connect(member.address)
+        return None
+
+    async def call(self, member, call):
+        """Send `call` to `member` and return the `Answer`."""
+        stream = self._streams.get(member.instance)
+        if stream is None:
+            with anyio.move_on_after(call.deadline - self._clock()):
+                stream = await self.stream_to(member)
+        if stream is None:
+            return refuse(Reason.PEER_UNREACHABLE, call)
+        return await stream.call(call)
+
+    def forget(self, stream):
+        """Drop a stream that has ended."""
+        if self._streams.get(stream.peer) is stream:
+            del self._streams[stream.peer]
+
+    def close_idle(self, present):
+        """Close streams to instances that are gone and have nothing in progress."""
+        for instance, stream in list(self._streams.items()):
+            if instance not in present and not stream.calls_in_progress:
+                stream.close()
+        now = self._clock()
+        self._failed = {i: t for i, t in self._failed.items() if t > now}
+
+    @property
+    def calls_in_progress(self):
+        """Calls without a whole answer on all streams."""
+        return sum(stream.calls_in_progress for stream in self._streams.values())
+
+    async def _open(self, member, opening):
+        try:
+            with anyio.move_on_after(CONNECT_TIMEOUT_SECONDS):
+                stream = await self._connect(member.address)
+                if stream is not None and stream.peer != member.instance:
+                    stream.close()
+        finally:
+            if member.instance not in self._streams:
+                pause_end = self._clock() + RECONNECT_PAUSE_SECONDS
+                self._failed[member.instance] = pause_end
+            del self._opening[member.instance]
+            opening.set()
+
+    async def _connect(self, address):
+        try:
+            transport = await anyio.connect_tcp(*address)
+            stream = PeerStream(transport, self._host, opened=True)
+            return await self._tasks.start(self._run, stream)
+        except (OSError, RuntimeError):
+            return None
+
+    async def _run(self, stream, task_status=anyio.TASK_STATUS_IGNORED):
+        await stream.run(_Registration(self, stream, task_status))
+
+    async def _accept(self, transport):
+        await self._run(PeerStream(transport, self._host, opened=False))
+
+    def register(self, stream):
+        """Enter a stream whose handshake is done."""
+        self._streams.setdefault(stream.peer, stream)
+        log_event(Event.PEER_CONNECTED, peer=stream.peer.hex())
--- /dev/null
+++ b/src/ragworthoist/store/etcd.py
@@ -0,0 +1,133 @@
+"""The store spoken to through the JSON gateway of etcd v3."""
+
+import base64
+import json
+
+import httpx
+
+from ragworthoist.exceptions import StoreResponseError, StoreUnavailableError
+from ragworthoist.store import StoredValue, stores
+
+
+def _encode(text):
+    raw = text if isinstance(text, bytes) else text.encode()
+    return base64.b64encode(raw).decode()
+
+
+def _decode(text):
+    return base64.b64decode(text)
+
+
+def _range_end(prefix):
+    raw = prefix.encode()
+    return _encode(raw[:-1] + bytes([raw[-1] + 1]))
+
+
+def _unpack(entry):
+    return StoredValue(
+        _decode(entry["key"]).decode(),
+        _decode(entry.get("value", "")),
+        int(entry["mod_revision"]),
+    )
+
+
+@stores.register("etcd")
+class EtcdStore:
+    """A client of the platform's store.
+
+    Parameters
+    ----------
+    settings : StoreSettings
+        Address and timeout.
+
+    Raises
+    ------
+    StoreUnavailableError
+        From every call that got no answer; a write may then have taken effect.
+    StoreResponseError
+        From every call that was answered against the protocol.
+    """
+
+    def __init__(self, settings):
+        self._timeout = settings.timeout_ms / 1000
+        self._client = httpx.AsyncClient(base_url=settings.url, timeout=self._timeout)
+
+    async def __aenter__(self):
+        await self._client.__aenter__()
+        return self
+
+    async def __aexit__(self, *exception):
+        await self._client.__aexit__(*exception)
+
+    async def get(self, key):
+        """Return the `StoredValue` under `key`, None when there is none."""
+        reply = await self._post("range", "/v3/kv/range", {"key": _encode(key)})
+        entries = reply.get("kvs", [])
+        return _unpack(entries[0]) if entries else None
+
+    async def list(self, prefix):
+        """Return the values of all keys that start with `prefix`."""
+        query = {"key": _encode(prefix), "range_end": _range_end(prefix)}
+        reply = await self._post("range", "/v3/kv/range", query)
+        return [_unpack(entry) for entry in reply.get("kvs", [])]
+
+    async def replace(self, key, value, revision):
+        """Write `value` if `key` is still at `revision` (0: absent).
+
+        Returns
+        -------
+        bool
+            Whether the value was written.
+        """
+        compare = {
+            "key": _encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(revision),
+        }
+        put = {"requestPut": {"key": _encode(key), "value": _encode(value)}}
+        query = {"compare": [compare], "success": [put]}
+        reply = await self._post("txn", "/v3/kv/txn", query)
+        return bool(reply.get("succeeded", False))
+
+    async def put(self, key, value, lease):
+        """Write `value` for as long as `lease` lasts."""
+        query = {"key": _encode(key), "value": _encode(value), "lease": str(lease)}
+        await self._post("put", "/v3/kv/put", query)
+
+    async def grant_lease(self, seconds):
+        """Return the id of a new lease of `seconds`."""
+        reply = await self._post("lease", "/v3/lease/grant", {"TTL": str(seconds)})
+        return int(reply["ID"])
+
+    async def keep_lease(self, lease):
+        """Extend `lease`; return False when it has lapsed."""
+        reply = await self._post("keepalive", "/v3/lease/keepalive", {"ID": str(lease)})
+        return int(reply.get("result", {}).get("TTL", 0)) > 0
+
+    async def watch(self, key, revision):
+        """Yield each `StoredValue` of `key` written at or after `revision`."""
+        create = {"key": _encode(key), "start_revision": str(revision)}
+        body = {"create_request": create}
+        timeout = httpx.Timeout(self._timeout, read=None)
+        try:
+            async with self._client.stream(
+                "POST", "/v3/watch", json=body, timeout=timeout
+            ) as response:
+                async for line in response.aiter_lines():
+                    for event in json.loads(line).get("result", {}).get("events", []):
+                        if "mod_revision" in event.get("kv", {}):
+                            yield _unpack(event["kv"])
+        except httpx.HTTPError as error:
+            raise StoreUnavailableError("watch", str(error)) from None
+
+    async def _post(self, operation, path, body):
+        try:
+            response = await self._client.post(path, json=body)
+        except httpx.HTTPError as error:
+            raise StoreUnavailableError(operation, repr(error)) from None
+        if response.status_code >= 500:
+            raise StoreUnavailableError(operation, f"status {response.status_code}")
+        if response.status_code != 200:
+            raise StoreResponseError(operation, response.status_code)
+        return response.json()
--- /dev/null
+++ b/src/ragworthoist_lab/__main__.py
@@ -0,0 +1,19 @@
+"""Entry point of the load and experiment tool."""
+
+import sys
+
+import defopt
+
+from ragworthoist_lab.demonstration import demonstrate
+from ragworthoist_lab.server import run_server
+from ragworthoist_lab.store import run_store
+
+
+def main():
+    """Run one command of the tool."""
+    commands = {"store": run_store, "server": run_server, "demonstrate": demonstrate}
+    sys.exit(defopt.run(commands, cli_options="has_default"))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/ragworthoist_lab/fleet.py
@@ -0,0 +1,282 @@
+"""A small fleet of real processes on loopback: store, backend servers, nodes."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+FLEET_NAME = "lab"
+TOKEN = "lab-operators-token"
+FLEET_KEY = "lab-fleet-key-0123456789"
+START_TIMEOUT_SECONDS = 60.0
+STOP_TIMEOUT_SECONDS = 15.0
+POLL_SECONDS = 0.05
+PORT_RANGE = (10_000, 32_000)
+
+
+class StartError(Exception):
+    """A process of the fleet did not come up."""
+
+
+@dataclass(frozen=True)
+class ServiceSpec:
+    """One service of the fleet and how many endpoints it has."""
+
+    name: str
+    endpoints: int = 2
+    slots: int = 4
+    service_ms: float = 20.0
+    onward: tuple = ()
+
+
+@dataclass
+class Endpoint:
+    """One backend server with the node beside it."""
+
+    spec: ServiceSpec
+    domain: str
+    ports: dict
+    settings_path: str = ""
+    server: subprocess.Popen = None
+    node: subprocess.Popen = None
+
+    @property
+    def entrance(self):
+        """URL of the node's entrance."""
+        return f"http://127.0.0.1:{self.ports['entrance']}"
+
+    @property
+    def server_url(self):
+        """URL of the backend server."""
+        return f"http://127.0.0.1:{self.ports['server']}"
+
+    @property
+    def operators_url(self):
+        """URL of the node's operators' address."""
+        return f"http://127.0.0.1:{self.ports['operators']}"
+
+
+@dataclass
+class Fleet:
+    """Processes of a fleet; leaving the context ends them all."""
+
+    services: list
+    domains: tuple = ("a", "b", "c")
+    regions: dict = field(default_factory=dict)
+    endpoints: list = field(default_factory=list)
+    store: subprocess.Popen = None
+    store_port: int = 0
+    seed: int = 1
+    seeds: list = field(default_factory=list)
+    _folder: object = None
+
+    def __enter__(self):
+        self._folder = tempfile.TemporaryDirectory(prefix="ragworthoist-lab-")
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_exception):
+        processes = [p for e in self.endpoints for p in (e.node, e.server)]
+        processes.append(self.store)
+        for process in processes:
+            if process is not None and process.poll() is None:
+                process.kill()
+        for process in processes:
+            if process is not None:
+                process.wait()
+        self._folder.cleanup()
+
+    def of(self, service):
+        """Return the endpoints of the service called `service`."""
+        return [e for e in self.endpoints if e.spec.name == service]
+
+    @property
+    def store_url(self):
+        """URL of the stand-in store."""
+        return f"http://127.0.0.1:{self.store_port}"
+
+    def start_store(self):
+        """Start the store, empty."""
+        self.store = _spawn_lab("store", str(self.store_port))
+        _wait_for_port(self.store_port, self.store)
+
+    def start_server(self, endpoint):
+        """Start the backend server of `endpoint`."""
+        spec = endpoint.spec
+        arguments = ["server", spec.name, str(endpoint.ports["server"])]
+        arguments += ["--onward-url", f"http://127.0.0.1:{endpoint.ports['onward']}"]
+        arguments += ["--slots", str(spec.slots), "--service-ms", str(spec.service_ms)]
+        arguments += ["--seed", str(self.seed)]
+        if spec.onward:
+            arguments += ["--onward", *spec.onward]
+        endpoint.server = _spawn_lab(*arguments)
+
+    def start_node(self, endpoint):
+        """Start the node of `endpoint`."""
+        log = open(endpoint.settings_path + ".err", "ab")  # noqa: SIM115
+        command = [sys.executable, "-m", "ragworthoist", "node", endpoint.settings_path]
+        endpoint.node = subprocess.Popen(command, stdout=log, stderr=log)
+        log.close()
+
+    def wait_until_ready(self, endpoints=None):
+        """Wait until the nodes serve and know one another."""
+        endpoints = self.endpoints if endpoints is None else endpoints
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        wanted = len([e for e in self.endpoints if e.node and e.node.poll() is None])
+        for endpoint in endpoints:
+            while self._count_alive(endpoint) < wanted:
+                if endpoint.node.poll() is not None or time.monotonic() > deadline:
+                    errors = Path(endpoint.settings_path + ".err").read_text()
+                    raise StartError(f"{endpoint.spec.name}: {errors[-2000:]}")
+                time.sleep(POLL_SECONDS)
+
+    def _count_alive(self, endpoint):
+        try:
+            status = self.ask(endpoint, "/status")
+        except (OSError, ValueError):
+            return 0
+        return sum(1 for m in status["members"] if m["state"] == "alive")
+
+    def ask(self, endpoint, path):
+        """Return the JSON that the operators' address of a node gives for `path`."""
+        return ask_operators(endpoint.operators_url + path)
+
+    def control_server(self, endpoint, action, values=None):
+        """Ask the stand-in server for something, or change its behaviour."""
+        return request_json(f"{endpoint.server_url}/.lab/{action}", values)
+
+    def control_store(self, action, values=None):
+        """Ask the stand-in store for something, or set its faults."""
+        return request_json(f"{self.store_url}/{action}", values)
+
+    def read_records(self):
+        """Return the runs recorded by all servers, by service."""
+        records = {}
+        for endpoint in self.endpoints:
+            if endpoint.server is None or endpoint.server.poll() is not None:
+                continue
+            found = self.control_server(endpoint, "records")
+            records.setdefault(endpoint.spec.name, []).extend(found)
+        return records
+
+    def stop_node(self, endpoint):
+        """Stop a node gracefully and return its exit code."""
+        endpoint.node.send_signal(signal.SIGTERM)
+        return endpoint.node.wait(STOP_TIMEOUT_SECONDS)
+
+    def _start_all(self):
+        count = sum(spec.endpoints for spec in self.services)
+        ports = reserve_ports(1 + 5 * count)
+        self.store_port = ports.pop()
+        self.start_store()
+        number = 0
+        for spec in self.services:
+            for _ in range(spec.endpoints):
+                domain = self.domains[number % len(self.domains)]
+                names = ("entrance", "onward", "peers", "operators", "server")
+                own = {name: ports.pop() for name in names}
+                self.endpoints.append(Endpoint(spec, domain, own))
+                number += 1
+        seeds = [e.ports["peers"] for e in self.endpoints[:3]]
+        for index, endpoint in enumerate(self.endpoints):
+            self._write_settings(index, endpoint, seeds)
+            self.start_server(endpoint)
+        for endpoint in self.endpoints:
+            _wait_for_port(endpoint.ports["server"], endpoint.server)
+        for endpoint in self.endpoints:
+            self.start_node(endpoint)
+        self.wait_until_ready()
+
+    def _write_settings(self, index, endpoint, seeds):
+        lines = [
+            "[node]",
+            f'service = "{endpoint.spec.name}"',
+            f'failure_domain = "{endpoint.domain}"',
+            f'region = "{self.regions.get(endpoint.domain, "main")}"',
+        ]
+        for name, port in endpoint.ports.items():
+            lines.append(f'{name} = {{ host = "127.0.0.1", port = {port} }}')
+        addresses = ", ".join(f'{{ host = "127.0.0.1", port = {p} }}' for p in seeds)
+        lines += [
+            "[fleet]",
+            f'name = "{FLEET_NAME}"',
+            f'key = "{FLEET_KEY}"',
+            f"seeds = [{addresses}]",
+            "[store]",
+            f'url = "{self.store_url}"',
+            "[operators]",
+            f'token = "{TOKEN}"',
+            "[log]",
+        ]
+        path = os.path.join(self._folder.name, f"node-{index}.toml")
+        lines.append(f'path = "{path}.log"')
+        Path(path).write_text("\n".join(lines) + "\n")
+        endpoint.settings_path = path
+
+
+def reserve_ports(count):
+    """Return `count` ports of loopback that are free now.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, so they stay free until they are listened on.
+    """
+    found = []
+    candidates = random.Random(os.getpid() + time.monotonic_ns())
+    while len(found) < count:
+        port = candidates.randrange(*PORT_RANGE)
+        if port not in found and _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
+def request_json(url, values=None, headers=()):
+    """Return the JSON answer of a GET, or of a POST when `values` are given."""
+    data = None if values is None else json.dumps(values).encode()
+    request = urllib.request.Request(url, data=data, headers=dict(headers))
+    with urllib.request.urlopen(request, timeout=10) as response:
+        raw = response.read()
+    return json.loads(raw) if raw else None
+
+
+def ask_operators(url):
+    """Return the JSON of an operators' address."""
+    return request_json(url, headers={"authorization": f"Bearer {TOKEN}"})
+
+
+def _spawn_lab(*arguments):
+    command = [sys.executable, "-m", "ragworthoist_lab", *arguments]
+    return subprocess.Popen(command)
+
+
+def _wait_for_port(port, process):
+    deadline = time.monotonic() + START_TIMEOUT_SECONDS
+    while time.monotonic() < deadline and process.poll() is None:
+        try:
+            socket.create_connection(("127.0.0.1", port), timeout=1).close()
+            return
+        except OSError:
+            time.sleep(POLL_SECONDS)
+    raise StartError(f"nothing listens on port {port}")
--- /dev/null
+++ b/src/ragworthoist_lab/load.py
@@ -0,0 +1,175 @@
+"""Open-loop load of customers, and what became of each of their requests."""
+
+import hashlib
+import json
+import random
+from dataclasses import dataclass, field
+
+import aiohttp
+import anyio
+
+from ragworthoist.net.web import OUTCOME, REASON, TICKET
+from ragworthoist_lab.server import ITEM
+
+CUSTOMER_TIMEOUT_SECONDS = 5.0
+MAX_TICKETS = 3
+
+
+@dataclass(frozen=True)
+class Stream:
+    """Requests of one kind, arriving at random with a mean rate.
+
+    `repeats` is how often a customer repeats a request that did not complete,
+    at once and without regard to the advice to wait.
+    """
+
+    kind: str
+    rank: str
+    method: str
+    path: str
+    rate: float
+    deadline: float = 1.0
+    repeats: int = 0
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Result:
+    """What became of one customer request."""
+
+    kind: str
+    rank: str
+    item: str
+    sent: float
+    seconds: float = 0.0
+    outcome: str = "unknown"
+    reason: str = ""
+    status: int = 0
+    tries: int = 0
+    wrong: bool = False
+    not_run_said: bool = False
+    deadline: float = 1.0
+
+    @property
+    def completed(self):
+        """Whether the customer got the whole answer within the deadline."""
+        return self.outcome == "completed" and not self.wrong
+
+
+@dataclass
+class Customers:
+    """Sends streams of requests to entrances and keeps the results.
+
+    Parameters
+    ----------
+    entrances : callable
+        Returns the list of URLs of entrances that are open now.
+    seed : int
+        Seed of arrivals and of the choice of entrances.
+    """
+
+    entrances: object
+    seed: int = 1
+    results: list = field(default_factory=list)
+    _session: aiohttp.ClientSession = None
+    _tasks: object = None
+    _count: int = 0
+
+    async def __aenter__(self):
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=20)
+        timeout = aiohttp.ClientTimeout(total=CUSTOMER_TIMEOUT_SECONDS)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        return self
+
+    async def __aexit__(self, *exception):
+        try:
+            return await self._tasks.__aexit__(*exception)
+        finally:
+            await self._session.close()
+
+    async def run(self, streams, seconds):
+        """Send `streams` for `seconds`; answers may still be under way after."""
+        async with anyio.create_task_group() as tasks:
+            for number, stream in enumerate(streams):
+                if stream.rate > 0:
+                    seed = f"{self.seed}/{number}/{stream.kind}"
+                    tasks.start_soon(self._arrive, stream, seconds, random.Random(seed))
+
+    async def _arrive(self, stream, seconds, source):
+        start = anyio.current_time()
+        due = source.expovariate(stream.rate)
+        while due < seconds:
+            delay = start + due - anyio.current_time()
+            if delay > 0:
+                await anyio.sleep(delay)
+            self._count += 1
+            item = f"{stream.kind}-{self._count}"
+            self._tasks.start_soon(self.request, stream, item, source.random())
+            due += source.expovariate(stream.rate)
+
+    async def request(self, stream, item, choice=0.0):
+        """Make one customer request, with its repeats, and return the `Result`."""
+        result = Result(
+            stream.kind,
+            stream.rank,
+            item,
+            anyio.current_time(),
+            deadline=stream.deadline,
+        )
+        entrances = self.entrances()
+        number = int(choice * len(entrances))
+        ticket = None
+        for attempt in range(stream.repeats + 1):
+            entrance = entrances[(number + attempt) % len(entrances)]
+            ticket = await self._try(stream, item, entrance, ticket, result)
+            if result.outcome == "completed":
+                break
+        result.seconds = anyio.current_time() - result.sent
+        self.results.append(result)
+        return result
+
+    async def _try(self, stream, item, entrance, ticket, result):
+        """Make one try, fetching a ticket first if one is asked for."""
+        for _ in range(MAX_TICKETS):
+            headers = {ITEM.decode(): item}
+            if ticket:
+                headers[TICKET.decode()] = ticket
+            result.tries += 1
+            try:
+                async with self._session.request(
+                    stream.method,
+                    entrance + stream.path,
+                    data=stream.body or None,
+                    headers=headers,
+                ) as response:
+                    body = await response.read()
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                result.outcome, result.reason = "unknown", "connection"
+                return ticket
+            self._judge(response, body, item, stream, result)
+            offered = response.headers.get(TICKET.decode())
+            ticket = offered or ticket
+            if response.status != 428:
+                return ticket
+        return ticket
+
+    def _judge(self, response, body, item, stream, result):
+        result.status = response.status
+        result.reason = response.headers.get(REASON.decode(), "")
+        result.outcome = response.headers.get(OUTCOME.decode(), "unknown")
+        if result.outcome == "completed":
+            result.wrong = not _is_right(body, item, stream)
+        result.not_run_said = result.outcome == "not-run"
+
+
+def _is_right(body, item, stream):
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        return False
+    digest = hashlib.sha256(stream.body).hexdigest()
+    service = stream.path.split("/")[1]
+    expected = {"service": service, "item": item, "digest": digest}
+    return answer == expected
--- /dev/null
+++ b/src/ragworthoist_lab/report.py
@@ -0,0 +1,123 @@
+"""Tables of what customers saw, and checks against the servers' records."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+RECOVERED_SHARE = 0.95
+WINDOW_SECONDS = 0.5
+
+
+@dataclass(frozen=True)
+class Row:
+    """What became of the requests of one kind."""
+
+    kind: str
+    rank: str
+    sent: int
+    completed: int
+    not_run: int
+    unknown: int
+    wrong: int
+    p50_ms: float
+    p99_ms: float
+    tries: float
+
+
+def summarise(results):
+    """Return a `Row` for each kind in `results`, in order of rank and kind."""
+    groups = {}
+    for result in results:
+        groups.setdefault((result.rank, result.kind), []).append(result)
+    return [_summarise_kind(*key, group) for key, group in sorted(groups.items())]
+
+
+def _summarise_kind(rank, kind, group):
+    seconds = sorted(r.seconds for r in group if r.completed)
+    return Row(
+        kind,
+        rank,
+        len(group),
+        sum(r.completed for r in group),
+        sum(r.outcome == "not-run" for r in group),
+        sum(r.outcome == "unknown" for r in group),
+        sum(r.wrong for r in group),
+        1000 * percentile(seconds, 0.50),
+        1000 * percentile(seconds, 0.99),
+        sum(r.tries for r in group) / len(group),
+    )
+
+
+def percentile(ordered, share):
+    """Return the value below which `share` of the `ordered` values lie."""
+    if not ordered:
+        return float("nan")
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def print_rows(rows):
+    """Print rows as a table."""
+    print(
+        f"{'kind':<10} {'rank':<8} {'sent':>6} {'whole':>6} {'notrun':>6} "
+        f"{'unknwn':>6} {'wrong':>5} {'p50ms':>7} {'p99ms':>7} {'tries':>5}"
+    )
+    for r in rows:
+        print(
+            f"{r.kind:<10} {r.rank:<8} {r.sent:>6} {r.completed:>6} {r.not_run:>6} "
+            f"{r.unknown:>6} {r.wrong:>5} {r.p50_ms:>7.1f} {r.p99_ms:>7.1f} "
+            f"{r.tries:>5.2f}",
+            flush=True,
+        )
+
+
+def measure_recovery(results, since):
+    """Return the seconds from `since` until nearly all requests complete again.
+
+    None when that does not happen within the results.
+    """
+    windows = {}
+    for result in results:
+        if result.sent >= since:
+            index = int((result.sent - since) / WINDOW_SECONDS)
+            windows.setdefault(index, []).append(result.completed)
+    good = {i for i, w in windows.items() if sum(w) >= RECOVERED_SHARE * len(w)}
+    for index in sorted(windows):
+        if {index, index + 1} <= good:
+            return index * WINDOW_SECONDS
+    return None
+
+
+def measure_amplification(results, records):
+    """Return the runs recorded at the first services per customer request."""
+    first = {result.item for result in results}
+    runs = sum(1 for r in _flatten(records) if r["item"] in first)
+    return runs / max(1, len(first))
+
+
+def find_violations(results, records, non_idempotent):
+    """Return descriptions of broken promises.
+
+    Parameters
+    ----------
+    non_idempotent : set of str
+        Services whose requests other than GET may run once for each item.
+    """
+    runs = Counter()
+    for service, found in records.items():
+        for record in found:
+            runs[service, record["item"], record["method"]] += 1
+    violations = [
+        f"{method} {item} ran {count} times at {service}"
+        for (service, item, method), count in runs.items()
+        if service in non_idempotent and method != "GET" and count > 1
+    ]
+    ran = {item for _, item, _ in runs}
+    for result in results:
+        if result.wrong:
+            violations.append(f"{result.item} got a wrong answer")
+        if result.not_run_said and result.tries == 1 and result.item in ran:
+            violations.append(f"{result.item} was said not to have run, but ran")
+    return violations
+
+
+def _flatten(records):
+    return [record for found in records.values() for record in found]
--- /dev/null
+++ b/src/ragworthoist_lab/store.py
@@ -0,0 +1,209 @@
+"""Stand-in of the platform's store: the JSON gateway of etcd v3, and its faults.
+
+`POST /faults` sets how it misbehaves, `GET /calls` tells how often it was called;
+a waiting watch counts as one call.
+"""
+
+import base64
+import json
+from dataclasses import dataclass, field
+
+import anyio
+
+from ragworthoist.net.web import respond
+from ragworthoist_lab.web import read_json, respond_json, run_application
+
+
+@dataclass(slots=True)
+class Faults:
+    """How the store misbehaves.
+
+    `lose_answers` is the number of writes whose answers are still to be lost
+    after they have taken effect.
+    """
+
+    down: bool = False
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+    lapse_leases: bool = False
+
+
+@dataclass(slots=True)
+class _Value:
+    value: str
+    revision: int
+    lease: str = "0"
+
+
+@dataclass(slots=True)
+class _Lease:
+    seconds: float
+    expires: float
+
+
+@dataclass(slots=True)
+class StandInStore:
+    """An ASGI application that keeps everything in memory."""
+
+    revision: int = 0
+    values: dict = field(default_factory=dict)
+    leases: dict = field(default_factory=dict)
+    calls: dict = field(default_factory=dict)
+    faults: Faults = field(default_factory=Faults)
+    saved: dict = field(default_factory=dict)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    async def __call__(self, scope, receive, send):
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        path = scope["path"]
+        body = await read_json(receive)
+        if not path.startswith("/v3/"):
+            await self._control(path, body, send)
+            return
+        self.calls[path] = self.calls.get(path, 0) + 1
+        if self.faults.delay_seconds:
+            await anyio.sleep(self.faults.delay_seconds)
+        if self.faults.down:
+            await respond(send, 503)
+            return
+        self._expire_leases()
+        if path == "/v3/watch":
+            await self._watch(body["create_request"], send)
+            return
+        handlers = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/put": self._put,
+            "/v3/kv/txn": self._txn,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep_alive,
+        }
+        handler = handlers.get(path)
+        if handler is None:
+            await respond(send, 404)
+            return
+        reply = handler(body)
+        if path in ("/v3/kv/put", "/v3/kv/txn") and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            await respond(send, 504)
+            return
+        await respond_json(send, reply)
+
+    async def _control(self, path, body, send):
+        if path == "/calls":
+            await respond_json(send, self.calls)
+        elif path == "/faults":
+            for name, value in body.items():
+                setattr(self.faults, name, value)
+            self._notify()
+            await respond(send, 204)
+        elif path == "/save":
+            self.saved = {
+                k: _Value(v.value, v.revision) for k, v in self.values.items()
+            }
+            await respond(send, 204)
+        elif path == "/go-back":
+            for key, old in self.saved.items():
+                self._write(key, old.value)
+            await respond(send, 204)
+        else:
+            await respond(send, 404)
+
+    def _range(self, body):
+        key, end = body["key"], body.get("range_end")
+        low = base64.b64decode(key)
+        high = base64.b64decode(end) if end else None
+        found = [
+            self._pack(k)
+            for k in sorted(self.values)
+            if k == key or (high and low <= base64.b64decode(k) < high)
+        ]
+        return {"kvs": found, "count": str(len(found))}
+
+    def _put(self, body):
+        self._write(body["key"], body["value"], body.get("lease", "0"))
+        return {"header": {"revision": str(self.revision)}}
+
+    def _txn(self, body):
+        matches = all(
+            self._revision_of(c["key"]) == int(c["mod_revision"])
+            for c in body["compare"]
+        )
+        for operation in body.get("success" if matches else "failure", []):
+            put = operation["requestPut"]
+            self._write(put["key"], put["value"])
+        return {"succeeded": matches} if matches else {}
+
+    def _grant(self, body):
+        number = str(len(self.leases) + 1)
+        seconds = float(body["TTL"])
+        self.leases[number] = _Lease(seconds, anyio.current_time() + seconds)
+        return {"ID": number, "TTL": body["TTL"]}
+
+    def _keep_alive(self, body):
+        lease = self.leases.get(body["ID"])
+        if lease is None:
+            return {"result": {"ID": body["ID"], "TTL": "0"}}
+        lease.expires = anyio.current_time() + lease.seconds
+        return {"result": {"ID": body["ID"], "TTL": str(int(lease.seconds))}}
+
+    async def _watch(self, body, send):
+        key, revision = body["key"], int(body.get("start_revision", 0))
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await self._send_line(send, {"result": {"created": True}})
+        while not self.faults.down:
+            current = self.values.get(key)
+            if current is not None and current.revision >= revision:
+                revision = current.revision + 1
+                event = {"events": [{"kv": self._pack(key)}]}
+                await self._send_line(send, {"result": event})
+            with anyio.move_on_after(1.0):
+                await self.changed.wait()
+        await send({"type": "http.response.body", "body": b""})
+
+    async def _send_line(self, send, value):
+        line = json.dumps(value).encode() + b"\n"
+        await send({"type": "http.response.body", "body": line, "more_body": True})
+
+    def _pack(self, key):
+        found = self.values[key]
+        return {
+            "key": key,
+            "value": found.value,
+            "mod_revision": str(found.revision),
+            "lease": found.lease,
+        }
+
+    def _revision_of(self, key):
+        found = self.values.get(key)
+        return found.revision if found else 0
+
+    def _write(self, key, value, lease="0"):
+        self.revision += 1
+        self.values[key] = _Value(value, self.revision, lease)
+        self._notify()
+
+    def _notify(self):
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _expire_leases(self):
+        now = anyio.current_time()
+        lapsed = {
+            number
+            for number, lease in self.leases.items()
+            if lease.expires <= now or self.faults.lapse_leases
+        }
+        for number in lapsed:
+            del self.leases[number]
+        for key in [k for k, v in self.values.items() if v.lease in lapsed]:
+            del self.values[key]
+
+
+def run_store(port: int):
+    """Run the stand-in of the platform's store on loopback.
+
+    :param port: port to listen on
+    """
+    run_application(StandInStore(), port)
--- /dev/null
+++ b/src/ragworthoist_lab/web.py
@@ -0,0 +1,42 @@
+"""Shared parts of the stand-ins' HTTP applications."""
+
+import json
+
+import anyio
+import uvicorn
+
+from ragworthoist.net.web import read_body, respond
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+async def read_json(receive):
+    """Return the JSON body of a request, an empty dict when there is none."""
+    raw = await read_body(receive, MAX_BODY_BYTES)
+    return json.loads(raw) if raw else {}
+
+
+async def respond_json(send, value, status=200):
+    """Send `value` as JSON."""
+    headers = [(b"content-type", b"application/json")]
+    await respond(send, status, headers, json.dumps(value).encode())
+
+
+def run_application(application, port):
+    """Serve an ASGI application on loopback until a signal comes."""
+    config = uvicorn.Config(
+        application,
+        host="127.0.0.1",
+        port=port,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="error",
+        access_log=False,
+        backlog=2048,
+        timeout_keep_alive=60,
+        timeout_graceful_shutdown=1,
+    )
+    server = uvicorn.Server(config)
+    options = {"use_uvloop": True}
+    anyio.run(server.serve, backend="asyncio", backend_options=options)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,4 @@
+from hypothesis import settings
+
+settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+settings.load_profile("fixed")
