Contain the faults of a node's tasks and serialise sends of datagrams

Cause: two tasks sent on the UDP socket at once, anyio raised BusyResourceError, and the fault of one task ended the whole node.

Ruled out: overload of the servers (limits and queues were idle) and closed kept-alive connections (the customers' unknown outcomes all had status 0 while the node's process was gone).

--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -14,6 +14,7 @@
 from ragworthoist._keeping import Keeper
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist._serving import Serving
+from ragworthoist._tasks import TaskPool
 from ragworthoist.core.configuration import Adoption, ConfigurationTable
 from ragworthoist.core.entities import Reason, refuse
 from ragworthoist.core.membership import Member, Membership
@@ -100,8 +101,9 @@
             open_store(self.settings.store) as store,
             backend,
             self.datagrams,
-            anyio.create_task_group() as self.tasks,
+            anyio.create_task_group() as group,
         ):
+            self.tasks = TaskPool(group)
             self.serving = Serving(
                 backend,
                 self.instance,
@@ -114,7 +116,7 @@
             await self._start(Keeper(self, store, self.settings.fleet))
             await self._leaving.wait()
             await self._drain()
-            self.tasks.cancel_scope.cancel()
+            group.cancel_scope.cancel()
         log_event(Event.NODE_STOPPED, instance=self.instance.hex())
 
     async def _start(self, keeper):
@@ -137,12 +139,12 @@
         self._onward = HttpServer(OnwardExit(self), node.onward.pair)
         await start(self._onward.run)
         await start(self._entrance.run)
-        self.tasks.start_soon(self.datagrams.receive, self._on_message)
-        self.tasks.start_soon(self._tick)
-        self.tasks.start_soon(self._gossip)
-        self.tasks.start_soon(keeper.watch)
-        self.tasks.start_soon(keeper.keep_joining)
-        self.tasks.start_soon(keeper.refresh_exceptions)
+        self.tasks.keep_running(self.datagrams.receive, self._on_message)
+        self.tasks.keep_running(self._tick)
+        self.tasks.keep_running(self._gossip)
+        self.tasks.keep_running(keeper.watch)
+        self.tasks.keep_running(keeper.keep_joining)
+        self.tasks.keep_running(keeper.refresh_exceptions)
         log_event(Event.NODE_SERVING, configuration=self.configuration.version)
 
     async def _wait_for_server(self, address):
--- a/src/ragworthoist/net/datagrams.py
+++ b/src/ragworthoist/net/datagrams.py
@@ -22,6 +22,7 @@
         self._address = address
         self._key = key
         self._socket = None
+        self._sending = anyio.Lock()
         self.sent = 0
         self.sent_bytes = 0
         self.received = 0
@@ -43,7 +44,8 @@
                 message.updates.pop()
                 data = seal_datagram(message, self._key)
             try:
-                await self._socket.sendto(data, host, port)
+                async with self._sending:
+                    await self._socket.sendto(data, host, port)
             except (OSError, anyio.BrokenResourceError):
                 continue
             self.sent += 1
--- /dev/null
+++ b/tests/net/test_datagrams.py
@@ -0,0 +1,77 @@
+import random
+
+import anyio
+import pytest
+
+from ragworthoist.core.membership import Member, Membership
+from ragworthoist.exceptions import AuthenticationError, FrameError
+from ragworthoist.net.datagrams import Datagrams
+from ragworthoist.net.frames import open_datagram, seal_datagram
+from ragworthoist_lab.fleet import reserve_ports
+
+KEY = b"k" * 32
+
+
+def make_membership(port=1, name=b"a"):
+    member = Member(name * 8, "stock", "main", "a", "127.0.0.1", port)
+    return Membership(member, random.Random(1), 0.0)
+
+
+def make_message():
+    table = make_membership()
+    return table.ask([Member(b"b" * 8, "stock", "main", "a", "127.0.0.1", 2)])[0][0]
+
+
+class TestSend:
+    def test_tasks_may_send_at_the_same_time(self):
+        async def send_from_many_tasks():
+            ports = reserve_ports(2)
+            target = ("127.0.0.1", ports[1])
+            received = []
+            everything = anyio.Event()
+
+            async def handle(message, _address):
+                received.append(message)
+                if len(received) == 200:
+                    everything.set()
+
+            async with (
+                Datagrams(("127.0.0.1", ports[0]), KEY) as one,
+                Datagrams(target, KEY) as other,
+                anyio.create_task_group() as tasks,
+            ):
+                tasks.start_soon(other.receive, handle)
+                for _ in range(20):
+                    tasks.start_soon(one.send, [(make_message(), target)] * 10)
+                await everything.wait()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(send_from_many_tasks)
+
+
+class TestOpenDatagram:
+    def test_returns_what_was_sealed(self):
+        message = make_message()
+        assert open_datagram(seal_datagram(message, KEY), KEY, "peer") == message
+
+    @pytest.mark.parametrize(
+        ("data", "error"),
+        [
+            (b"", AuthenticationError),
+            (b"garbage" * 20, AuthenticationError),
+            (seal_datagram(make_message(), b"x" * 32), AuthenticationError),
+            (seal_datagram(make_message(), KEY)[:-1], AuthenticationError),
+        ],
+    )
+    def test_refuses_what_the_fleet_did_not_seal(self, data, error):
+        with pytest.raises(error):
+            open_datagram(data, KEY, "peer")
+
+    @pytest.mark.parametrize("payload", [None, 7, [], [99] * 8, [0, b"", 1]])
+    def test_refuses_sealed_garbage(self, payload):
+        class Garbage:
+            def pack(self):
+                return payload
+
+        with pytest.raises(FrameError):
+            open_datagram(seal_datagram(Garbage(), KEY), KEY, "peer")
