Measure overload policies on real processes in bench/overload.py

Cause: decisions on limits, queue order, shedding and retries need a comparison with baselines in the same code: no control, and a fixed limit with first in first out, both with 3 repeats at every hop.

--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,236 @@
+"""Compares overload policies on real processes: the same load, several seeds.
+
+Run `python bench/overload.py`; it prints a table for docs/MEASUREMENTS.md and
+writes every run to bench/results/overload.json.
+"""
+
+import json
+import statistics
+import sys
+import time
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import anyio
+import defopt
+
+from ragworthoist_lab.demonstration import configure
+from ragworthoist_lab.fleet import Fleet, ServiceSpec
+from ragworthoist_lab.load import Customers, Stream
+from ragworthoist_lab.report import measure_recovery, percentile
+
+RESULTS = Path(__file__).parent / "results" / "overload.json"
+SERVICES = [
+    ServiceSpec("orders", 2, 12, 10, ("POST /stock/reserve",)),
+    ServiceSpec("stock", 2, 3, 20),
+    ServiceSpec("listings", 2, 3, 20),
+    ServiceSpec("bookings", 2, 12, 10, ("POST /deposits/new",)),
+    ServiceSpec("deposits", 2, 2, 20),
+    ServiceSpec("welfare", 2, 2, 20),
+]
+RANKS = ["urgent", "business", "browsing"]
+KINDS = [
+    ("stock-check", "stock", "/stock/check", "urgent"),
+    ("welfare", "welfare", "/", "urgent"),
+    ("order", "orders", "/", "business"),
+    ("booking", "bookings", "/", "business"),
+    ("sample-stock", "stock", "/stock/samples", "browsing"),
+    ("listing", "listings", "/listings/coops", "browsing"),
+    ("photo", "listings", "/listings/photos", "browsing"),
+]
+STREAMS = [
+    Stream("stock-check", "urgent", "GET", "/stock/check", 60),
+    Stream("welfare", "urgent", "GET", "/welfare/records", 60),
+    Stream("order", "business", "POST", "/orders/new", 50),
+    Stream("booking", "business", "POST", "/bookings/new", 50),
+    Stream("sample-stock", "browsing", "GET", "/stock/samples", 50),
+    Stream("listing", "browsing", "GET", "/listings/coops", 80),
+    Stream("photo", "browsing", "GET", "/listings/photos", 40),
+]
+CAPACITY_FACTOR = 1.6
+LOAD_SECONDS = 8.0
+AFTER_SECONDS = 7.0
+SETTLE_SECONDS = 1.5
+
+POLICIES = {
+    "ragworthoist": {},
+    "no control": {
+        "limit": "none",
+        "order": "first_in",
+        "carry_levels": False,
+        "rank_order": False,
+        "retry_bound": "hop",
+        "retries": 3,
+        "retry_budget": 1.0,
+    },
+    "fixed, first in": {
+        "limit": "fixed",
+        "fixed_limit": 8,
+        "order": "first_in",
+        "carry_levels": False,
+        "rank_order": False,
+        "retry_bound": "hop",
+        "retries": 3,
+        "retry_budget": 1.0,
+    },
+    "additive limit": {"limit": "additive"},
+    "first in": {"order": "first_in"},
+    "newest when late": {"order": "newest_when_late"},
+    "shed by chance": {"shed": "chance", "order": "newest_when_late"},
+    "levels not carried": {"carry_levels": False},
+}
+BASELINES = ("ragworthoist", "no control", "fixed, first in")
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A load, and what happens to the servers while it lasts."""
+
+    name: str
+    factors: dict
+    repeats: int = 0
+    slow: tuple = ()
+
+    def streams(self):
+        """Return the streams of the scenario."""
+        default = self.factors.get("*", 1.0)
+        return [
+            replace(
+                s, rate=s.rate * self.factors.get(s.kind, default), repeats=self.repeats
+            )
+            for s in STREAMS
+        ]
+
+
+SCENARIOS = [
+    Scenario("at capacity", {"*": CAPACITY_FACTOR}),
+    Scenario("demand x3", {"*": 3.0}),
+    Scenario("demand x2, hard retries", {"*": 2.0}, repeats=3),
+    Scenario("stock slows to a fifth", {"*": 1.0}, slow=("stock", 5.0)),
+    Scenario("flood of listings x10", {"listing": 10.0}),
+    Scenario("flood of stock checks x8", {"stock-check": 8.0}),
+]
+
+
+def measure(
+    *,
+    policies: list[str] = BASELINES,
+    scenarios: list[str] = (),
+    seeds: int = 3,
+    path: Path = RESULTS,
+):
+    """Measure policies in scenarios and print medians.
+
+    :param policies: names of the policies to compare
+    :param scenarios: names of the scenarios, all by default
+    :param seeds: number of seeds
+    :param path: where to write every run
+    """
+    chosen = [s for s in SCENARIOS if not scenarios or s.name in scenarios]
+    runs = []
+    with Fleet(SERVICES) as fleet:
+        for policy in policies:
+            configure(fleet, _make_configuration(POLICIES[policy]))
+            for scenario in chosen:
+                for seed in range(1, seeds + 1):
+                    run = anyio.run(_run, fleet, scenario, seed)
+                    run |= {"policy": policy, "scenario": scenario.name, "seed": seed}
+                    runs.append(run)
+                    _show_progress(run)
+    path.parent.mkdir(exist_ok=True)
+    path.write_text(json.dumps(runs, indent=1))
+    print_table(runs)
+
+
+def _make_configuration(overrides):
+    kinds = [
+        {"name": name, "service": service, "path_prefix": prefix, "rank": rank}
+        for name, service, prefix, rank in KINDS
+    ]
+    defaults = {"ranks": RANKS, "retries": 2} | overrides
+    return {"defaults": defaults | {"kinds": kinds}}
+
+
+async def _run(fleet, scenario, seed):
+    entrances = [e.entrance for e in fleet.endpoints]
+    async with Customers(lambda: entrances, seed) as customers:
+        await customers.run(STREAMS, SETTLE_SECONDS)
+        await _slow_down(fleet, scenario)
+        start = anyio.current_time()
+        await customers.run(scenario.streams(), LOAD_SECONDS)
+        end = anyio.current_time()
+        await _slow_down(fleet, scenario, 1.0)
+        await customers.run(STREAMS, AFTER_SECONDS)
+    loaded = [r for r in customers.results if start <= r.sent < end]
+    after = [r for r in customers.results if r.sent >= end]
+    return _summarise(loaded, end - start) | {"recovery": measure_recovery(after, end)}
+
+
+async def _slow_down(fleet, scenario, factor=None):
+    if not scenario.slow:
+        return
+    service, slow = scenario.slow
+    for endpoint in fleet.of(service):
+        await anyio.to_thread.run_sync(
+            fleet.control_server, endpoint, "behaviour", {"slow_factor": factor or slow}
+        )
+
+
+def _summarise(results, seconds):
+    kinds = {}
+    for stream in STREAMS:
+        group = [r for r in results if r.kind == stream.kind]
+        done = sorted(r.seconds for r in group if r.completed and r.seconds <= 1.0)
+        kinds[stream.kind] = {
+            "sent": len(group) / seconds,
+            "done": len(done) / seconds,
+            "p99": percentile(done, 0.99),
+        }
+    return {"kinds": kinds, "goodput": sum(k["done"] for k in kinds.values())}
+
+
+def _show_progress(run):
+    shares = " ".join(
+        f"{kind}:{k['done'] / k['sent']:.2f}" for kind, k in run["kinds"].items()
+    )
+    print(
+        f"{time.strftime('%H:%M:%S')} {run['policy']:<18} {run['scenario']:<26} "
+        f"seed {run['seed']} goodput {run['goodput']:6.1f}/s recovery "
+        f"{run['recovery']} {shares}",
+        file=sys.stderr,
+        flush=True,
+    )
+
+
+def print_table(runs):
+    """Print medians over seeds, and the range of the goodput, as Markdown."""
+    groups = {}
+    for run in runs:
+        groups.setdefault((run["scenario"], run["policy"]), []).append(run)
+    kinds = [stream.kind for stream in STREAMS]
+    print("| scenario | policy | goodput/s (range) | recovery s |", *kinds, sep=" | ")
+    print("|" + " --- |" * (4 + len(kinds)))
+    for (scenario, policy), group in groups.items():
+        goodput = [run["goodput"] for run in group]
+        recovery = [
+            AFTER_SECONDS if run["recovery"] is None else run["recovery"]
+            for run in group
+        ]
+        shares = [
+            statistics.median(
+                r["kinds"][k]["done"] / r["kinds"][k]["sent"] for r in group
+            )
+            for k in kinds
+        ]
+        cells = [
+            scenario,
+            policy,
+            f"{statistics.median(goodput):.0f} ({min(goodput):.0f}-{max(goodput):.0f})",
+            f"{statistics.median(recovery):.1f}",
+            *(f"{share:.2f}" for share in shares),
+        ]
+        print("| " + " | ".join(cells) + " |")
+
+
+if __name__ == "__main__":
+    defopt.run(measure, cli_options="has_default")
--- a/src/ragworthoist/_document.py
+++ b/src/ragworthoist/_document.py
@@ -55,6 +55,7 @@
     deadline_ms: Milliseconds = 1000
     retries: int = Field(default=2, ge=0, le=10)
     retry_budget: float = Field(default=0.1, ge=0, le=1)
+    retry_bound: Literal["request", "hop"] = "request"
     limit: Literal["latency", "additive", "fixed", "none"] = "latency"
     fixed_limit: int = Field(default=32, ge=1, le=100_000)
     order: Literal["first_in", "newest_when_late", "draw_when_late"] = "draw_when_late"
--- a/src/ragworthoist/core/policy.py
+++ b/src/ragworthoist/core/policy.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ragworthoist.core.retries import retry_bounds
+
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 
 
@@ -49,6 +51,8 @@
         self.ranks = defaults.ranks
         self.ticket_lifetime = float(defaults.ticket_seconds)
         self.tickets = defaults.tickets
+        self.retries = defaults.retries
+        self.bound_retries = retry_bounds.get(defaults.retry_bound)
         self._rules = document.active_exceptions(now)
         self._services = {}
         self._kinds = {}
--- a/src/ragworthoist/core/retries.py
+++ b/src/ragworthoist/core/retries.py
@@ -8,6 +8,10 @@
 
 from dataclasses import dataclass
 
+from ragworthoist._registry import Registry
+
+retry_bounds = Registry("retry bound")
+
 
 @dataclass(slots=True)
 class Allotment:
@@ -80,3 +84,15 @@
             return False
         self.tokens -= 1.0
         return True
+
+
+@retry_bounds.register("request")
+def bound_by_request(held, _retries):
+    """Let an onward call use what its customer request still holds."""
+    return held
+
+
+@retry_bounds.register("hop")
+def bound_by_hop(_held, retries):
+    """Grant each onward call repeats of its own, which multiply; a baseline."""
+    return Allotment(retries)
--- a/src/ragworthoist/net/entrance.py
+++ b/src/ragworthoist/net/entrance.py
@@ -284,7 +284,9 @@
                 return refusal
         pending = Answer(Outcome.UNKNOWN, Reason.CANCELLED)
         inbound.onward[fingerprint] = pending
-        answer = await self._node.dispatcher.dispatch(call, inbound.allotment)
+        policy = self._node.policy
+        allotment = policy.bound_retries(inbound.allotment, policy.retries)
+        answer = await self._node.dispatcher.dispatch(call, allotment)
         inbound.onward[fingerprint] = answer
         if answer.outcome is Outcome.NOT_RUN:
             inbound.onward_refused = True
--- a/src/ragworthoist_lab/demonstration.py
+++ b/src/ragworthoist_lab/demonstration.py
@@ -74,7 +74,7 @@
     started = time.monotonic()
     print("starting store, backend servers and nodes ...", flush=True)
     with Fleet(SERVICES, seed=seed) as fleet:
-        _configure(fleet, configuration_values())
+        configure(fleet, configuration_values())
         print(f"ready after {time.monotonic() - started:.1f} s", flush=True)
         violations = anyio.run(_drive, fleet, seed, 0.3 if quick else 1.0)
     for violation in violations[:10]:
@@ -83,7 +83,7 @@
     sys.exit(1 if violations else 0)
 
 
-def _configure(fleet, values):
+def configure(fleet, values):
     """Put `values` in force through the command line."""
     text = "\n".join(_to_toml(values))
     with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
