Keep ranks in order along the chain and learn limits from own time

Three reasons, each seen in state dumps under load: the limit took the lowest sample for the floor (a spread of 0.5 to 1.5 then looks like waiting) and counted the time of onward calls as the server's own, so limits at orders fell to 2 of 12 slots; levels of two ranks moved independently, so orders were refused at the first hop while samples passed; held levels were forgotten after 0.5 s, which callers with 4 calls/s outlast.

Ruled out: processor time (nodes below 0.3 of a core) and ejection (none).

--- a/src/ragworthoist/_serving.py
+++ b/src/ragworthoist/_serving.py
@@ -42,9 +42,24 @@
     scope: object = None
     cancelled: bool = False
     onward: dict = field(default_factory=dict)
+    onward_active: int = 0
+    onward_since: float = 0.0
+    onward_seconds: float = 0.0
     onward_ran: bool = False
     onward_refused: bool = False
 
+    def start_onward(self, now):
+        """Note that an onward call begins."""
+        if not self.onward_active:
+            self.onward_since = now
+        self.onward_active += 1
+
+    def end_onward(self, now):
+        """Note that an onward call has ended."""
+        self.onward_active -= 1
+        if not self.onward_active:
+            self.onward_seconds += now - self.onward_since
+
 
 class Serving:
     """Admission and hand-over of calls to the backend server beside this node.
@@ -208,7 +223,9 @@
             self.admission.abandon(inbound.entry, self._clock())
         else:
             ok = answer.outcome is Outcome.COMPLETED or inbound.onward_refused
-            self.admission.finish(inbound.entry, self._clock(), ok)
+            self.admission.finish(
+                inbound.entry, self._clock(), ok, inbound.onward_seconds
+            )
         self._settle(inbound, answer)
 
     def _settle(self, inbound, answer):
--- a/src/ragworthoist/core/admission.py
+++ b/src/ragworthoist/core/admission.py
@@ -12,14 +12,14 @@
 
 from ragworthoist._registry import Registry
 from ragworthoist.core.levels import LevelTable
-from ragworthoist.core.limits import limits
+from ragworthoist.core.limits import Sample, limits
 
 orders = Registry("queue order")
 sheds = Registry("shedding rule")
 
-MIN_QUEUE = 8
+MIN_QUEUE = 32
 MAX_QUEUE = 2000
-QUEUE_PER_LIMIT = 1.0
+QUEUE_PER_LIMIT = 6.0
 SERVICE_TIME_SMOOTHING = 0.05
 BASELINE_QUEUE = 1_000_000
 
@@ -182,12 +182,12 @@
             self._refuse(entry)
             return
         if self.in_flight < self.limiter.limit and not self._length:
-            self.levels.record(call.kind, False)
+            self.levels.record(call.kind, call.rank, False)
             self._start(entry, now)
             return
         self._enqueue(entry)
         if self._length <= self.capacity:
-            self.levels.record(call.kind, False)
+            self.levels.record(call.kind, call.rank, False)
             return
         self._displace(entry)
 
@@ -199,11 +199,16 @@
         entry.state = EntryState.SHED
         return True
 
-    def finish(self, entry, now, ok=True):
-        """Account the end of a call that was handed over."""
+    def finish(self, entry, now, ok=True, onward_seconds=0.0):
+        """Account the end of a call that was handed over.
+
+        `onward_seconds` is the time in which onward calls were under way for it.
+        """
         entry.state = EntryState.DONE
         latency = now - entry.started
-        self.limiter.record(latency, self.in_flight, ok, now)
+        own = max(0.0, latency - onward_seconds)
+        sample = Sample(entry.call.kind, own, latency, self.in_flight, ok)
+        self.limiter.record(sample, now)
         self.in_flight -= 1
         if ok:
             change = latency - self.service_time
@@ -231,7 +236,7 @@
             for kind in rank.kinds.values():
                 self._drop_late(kind, now)
         self.start_waiting(now)
-        self.levels.tick(now)
+        self.levels.tick(now, self._length / self.capacity, self._next_shed_kind())
 
     def _drop_late(self, kind, now):
         latest = now + self.service_time
@@ -247,7 +252,7 @@
         entry.notify(entry)
 
     def _refuse(self, entry):
-        self.levels.record(entry.call.kind, True)
+        self.levels.record(entry.call.kind, entry.call.rank, True)
         entry.state = EntryState.SHED
         entry.notify(entry)
 
@@ -272,15 +277,20 @@
         rank.length -= 1
         self._length -= 1
 
+    def _next_shed_kind(self):
+        return self._lowest_rank().longest_kind().name if self._length else None
+
+    def _lowest_rank(self):
+        return self._ranks[max(i for i, rank in self._ranks.items() if rank.length)]
+
     def _displace(self, arrival):
-        lowest = max(index for index, rank in self._ranks.items() if rank.length)
-        kind = self._ranks[lowest].longest_kind()
+        kind = self._lowest_rank().longest_kind()
         victim = self._shed(kind.entries)
         self._remove(victim)
         if victim is arrival:
             self._refuse(arrival)
             return
-        self.levels.record(arrival.call.kind, False)
+        self.levels.record(arrival.call.kind, arrival.call.rank, False)
         self._shed_entry(victim)
 
     def _take_next(self, now):
--- a/src/ragworthoist/core/limits.py
+++ b/src/ragworthoist/core/limits.py
@@ -3,13 +3,31 @@
 The limit is the number of calls a node hands to its server at the same time.
 """
 
+from dataclasses import dataclass
+
 from ragworthoist._registry import Registry
 
 limits = Registry("limit")
 
-MIN_LIMIT = 2.0
+MIN_LIMIT = 1.0
 MAX_LIMIT = 2000.0
-INITIAL_LIMIT = 8.0
+INITIAL_LIMIT = 4.0
+MIN_LATENCY_SECONDS = 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One finished call.
+
+    `whole` is its latency in seconds, `own` the part of it during which no onward
+    call was under way, `in_flight` the number of calls when it ended.
+    """
+
+    kind: str
+    own: float
+    whole: float
+    in_flight: int
+    ok: bool
 
 
 @limits.register("none")
@@ -19,7 +37,7 @@
     def __init__(self, _policy):
         self.limit = float("inf")
 
-    def record(self, latency, in_flight, ok, now):
+    def record(self, sample, now):
         """Ignore the sample."""
 
 
@@ -30,7 +48,7 @@
     def __init__(self, policy):
         self.limit = float(policy.fixed_limit)
 
-    def record(self, latency, in_flight, ok, now):
+    def record(self, sample, now):
         """Ignore the sample."""
 
 
@@ -52,112 +70,153 @@
         self._floor = float("inf")
         self._next_shrink = 0.0
 
-    def record(self, latency, in_flight, ok, now):
+    def record(self, sample, now):
         """Adjust the limit to one finished call."""
-        self._floor = min(self._floor * self.FLOOR_GROWTH, latency)
-        if not ok or latency > self._floor * self.SLOW_FACTOR:
+        self._floor = min(self._floor * self.FLOOR_GROWTH, sample.own)
+        if not sample.ok or sample.own > self._floor * self.SLOW_FACTOR:
             if now >= self._next_shrink:
                 self._next_shrink = now + self.SHRINK_INTERVAL_SECONDS
                 self.limit = max(MIN_LIMIT, self.limit * self.SHRINK)
             return
-        if in_flight >= self.limit * 0.8:
+        if sample.in_flight >= self.limit * 0.8:
             self.limit = min(MAX_LIMIT, self.limit + 1.0 / self.limit)
 
 
+@dataclass(slots=True)
+class _KindLatency:
+    """Latency of one kind: the lowest mean so far, and the current window."""
+
+    floor: float = float("inf")
+    total: float = 0.0
+    count: int = 0
+
+
 @limits.register("latency")
 class LatencyLimit:
     """Keep a small number of calls waiting inside the server.
 
-    In each window the number waiting is estimated from the mean latency and the
-    latency without waiting: `in_flight * (1 - floor / mean)`. The limit grows
+    In each window the number waiting is estimated, kind by kind, from the mean
+    latency and the lowest mean seen: `busy * (1 - floor / mean)`. The limit grows
     while the estimate is small and shrinks while it is large. When the limit has
-    shrunk and the mean latency did not follow, the server itself has become
-    slower: the floor is then learned anew, so that a slow server keeps all of its
-    slots.
+    shrunk and the latency did not follow, the server itself has become slower:
+    the floors are then learned anew, so that a slow server keeps all its slots.
     """
 
     WINDOW_SECONDS = 0.1
-    MIN_SAMPLES = 4
+    WINDOW_LATENCIES = 2.0
+    MIN_SAMPLES = 8
+    MIN_KIND_SAMPLES = 3
     MAX_WINDOW_SECONDS = 2.0
-    WAITING_LOW = 0.05
-    WAITING_HIGH = 0.15
     WAITING_MARGIN = 1.0
+    WAITING_LOW = 0.1
+    WAITING_HIGH = 0.25
+    BUSY_SHARE = 0.7
     FAST_GROWTH = 1.5
+    GROWTH = 0.05
     SHRINK = 0.85
     FAILURE_SHRINK = 0.7
     FAILURE_SHARE = 0.3
-    SHRUNK_ENOUGH = 0.75
-    RELEARN_RATIO = 0.9
-    FLOOR_GROWTH = 1.002
+    SHRUNK_ENOUGH = 0.5
+    RELEARN_RATIO = 0.8
+    FLOOR_GROWTH = 1.0005
 
     def __init__(self, _policy):
         self.limit = INITIAL_LIMIT
-        self.floor = float("inf")
+        self._kinds = {}
         self._starting = True
-        self._window_start = None
-        self._total = 0.0
-        self._fastest = float("inf")
-        self._count = 0
-        self._failures = 0
-        self._peak = 0
         self._reference = None
+        self._clear_window(None)
 
-    def record(self, latency, in_flight, ok, now):
+    def record(self, sample, now):
         """Adjust the limit to one finished call."""
         if self._window_start is None:
-            self._window_start = now
+            self._window_start = now - sample.own
+        kind = self._kinds.get(sample.kind)
+        if kind is None:
+            kind = self._kinds[sample.kind] = _KindLatency()
+        kind.total += sample.own
+        kind.count += 1
         self._count += 1
-        self._failures += not ok
-        self._total += latency
-        self._fastest = min(self._fastest, latency)
-        self._peak = max(self._peak, in_flight)
-        elapsed = now - self._window_start
-        if elapsed < self.WINDOW_SECONDS:
-            return
-        if self._count < self.MIN_SAMPLES and elapsed < self.MAX_WINDOW_SECONDS:
-            return
-        self._close_window(now)
-
-    def _close_window(self, now):
-        mean = self._total / self._count
-        self.floor = min(self.floor * self.FLOOR_GROWTH, self._fastest)
-        if self._failures > self.FAILURE_SHARE * self._count:
-            self._shrink(self.FAILURE_SHRINK, mean)
-        else:
-            self._adjust(mean)
+        self._failures += not sample.ok
+        self._own += sample.own
+        self._whole += sample.whole
+        self._peak = max(self._peak, sample.in_flight)
+        if self._is_window_over(now - self._window_start):
+            self._close_window()
+            self._clear_window(now)
+
+    def _is_window_over(self, elapsed):
+        if elapsed >= self.MAX_WINDOW_SECONDS:
+            return True
+        long_enough = self.WINDOW_LATENCIES * self._whole / self._count
+        enough = self._count >= self.MIN_SAMPLES
+        return enough and elapsed >= max(self.WINDOW_SECONDS, long_enough)
+
+    def _clear_window(self, now):
         self._window_start = now
-        self._total = 0.0
-        self._fastest = float("inf")
         self._count = self._failures = self._peak = 0
+        self._own = self._whole = 0.0
+        for kind in self._kinds.values():
+            kind.total = 0.0
+            kind.count = 0
 
-    def _adjust(self, mean):
-        waiting = self._peak * (1.0 - self.floor / mean) if mean > 0 else 0.0
+    def _close_window(self):
+        slowness = self._measure_slowness()
+        if self._failures > self.FAILURE_SHARE * self._count:
+            self._starting = False
+            self._shrink(self.FAILURE_SHRINK, slowness)
+            return
+        # Calls that wait for onward calls do not wait inside this server.
+        busy = self._peak * self._own / self._whole if self._whole > 0 else 0.0
+        waiting = busy * (1.0 - 1.0 / slowness)
         if waiting > self.WAITING_MARGIN + self.WAITING_HIGH * self.limit:
             self._starting = False
-            self._shrink(self.SHRINK, mean)
-            self._relearn_floor(mean)
+            self._shrink(self.SHRINK, slowness)
+            self._relearn_floors(slowness)
             return
         self._reference = None
-        busy = self._peak >= 0.7 * self.limit
-        if busy and waiting < self.WAITING_MARGIN + self.WAITING_LOW * self.limit:
+        if not self._is_saturated():
+            return
+        if waiting < self.WAITING_MARGIN + self.WAITING_LOW * self.limit:
             self._grow()
 
+    def _is_saturated(self):
+        return self._peak >= self.BUSY_SHARE * self.limit
+
+    def _measure_slowness(self):
+        """Return how many times slower than their floors the calls were."""
+        excess = 0.0
+        counted = 0
+        for kind in self._kinds.values():
+            if kind.count < self.MIN_KIND_SAMPLES:
+                continue
+            mean = max(kind.total / kind.count, MIN_LATENCY_SECONDS)
+            kind.floor = min(kind.floor * self.FLOOR_GROWTH, mean)
+            excess += kind.count * mean / kind.floor
+            counted += kind.count
+        return excess / counted if counted else 1.0
+
     def _grow(self):
         if self._starting:
-            self.limit = min(MAX_LIMIT, self.limit * self.FAST_GROWTH)
+            grown = self.limit * self.FAST_GROWTH
         else:
-            self.limit = min(MAX_LIMIT, self.limit + max(1.0, 0.05 * self.limit))
+            grown = self.limit + max(0.5, self.GROWTH * self.limit)
+        self.limit = min(MAX_LIMIT, grown)
 
-    def _shrink(self, factor, mean):
-        if self._reference is None:
-            self._reference = (self.limit, mean)
+    def _shrink(self, factor, slowness):
+        if self._reference is None and self._is_saturated():
+            self._reference = (self.limit, slowness)
         self.limit = max(MIN_LIMIT, self.limit * factor)
 
-    def _relearn_floor(self, mean):
-        limit, latency = self._reference
-        if self.limit > self.SHRUNK_ENOUGH * limit:
+    def _relearn_floors(self, slowness):
+        if self._reference is None or not self._is_saturated():
+            return
+        limit, reference = self._reference
+        if self.limit > max(self.SHRUNK_ENOUGH * limit, MIN_LIMIT):
             return
-        if mean > self.RELEARN_RATIO * latency:
-            self.floor = self._fastest
+        if slowness > self.RELEARN_RATIO * reference:
+            for kind in self._kinds.values():
+                if kind.count:
+                    kind.floor = kind.total / kind.count
             self.limit = limit
         self._reference = None
--- a/src/ragworthoist/net/entrance.py
+++ b/src/ragworthoist/net/entrance.py
@@ -286,7 +286,11 @@
         inbound.onward[fingerprint] = pending
         policy = self._node.policy
         allotment = policy.bound_retries(inbound.allotment, policy.retries)
-        answer = await self._node.dispatcher.dispatch(call, allotment)
+        inbound.start_onward(self._node.clock())
+        try:
+            answer = await self._node.dispatcher.dispatch(call, allotment)
+        finally:
+            inbound.end_onward(self._node.clock())
         inbound.onward[fingerprint] = answer
         if answer.outcome is Outcome.NOT_RUN:
             inbound.onward_refused = True
