--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,207 @@
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ragworthoist.core.membership import (
+    PAUSE_SECONDS,
+    SUSPICION_SECONDS,
+    Member,
+    Membership,
+    MemberState,
+    Message,
+)
+
+TICK_SECONDS = 0.1
+# Suspicion, a round of probes of the nodes thought dead, and news of refutations.
+SETTLE_SECONDS = 90.0
+
+
+class Network:
+    """Membership tables that exchange datagrams, with cuts, crashes and pauses."""
+
+    def __init__(self, size, seed=1):
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.tables = {}
+        self.cut = set()
+        self.paused = set()
+        self.loss = 0.0
+        self.started = 0
+        self.datagrams = 0
+        for number in range(size):
+            self.start(("10.0.0.1", number))
+
+    def start(self, address):
+        self.started += 1
+        domain = "ab"[address[1] % 2]
+        name = f"{self.started:08}".encode()
+        member = Member(name, "stock", "main", domain, *address)
+        table = Membership(member, random.Random(self.started), self.now)
+        for other in self.tables.values():
+            self.exchange(table, other)
+        self.tables[address] = table
+
+    def exchange(self, one, other):
+        records = [Member.unpack(r) for r in one.snapshot()]
+        one.merge([Member.unpack(r) for r in other.snapshot()], self.now)
+        other.merge(records, self.now)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            for address, table in list(self.tables.items()):
+                if address not in self.paused:
+                    self.deliver(address, table.tick(self.now))
+
+    def deliver(self, source, outgoing):
+        for message, address in outgoing:
+            self.datagrams += 1
+            target = self.tables.get(address)
+            if target is None or self.is_lost(source, address):
+                continue
+            copy = Message.unpack(message.pack())
+            self.deliver(address, target.receive(copy, source, self.now))
+            wanted = self.tables.get(source)
+            if target.sync_wanted is not None and wanted is not None:
+                target.sync_wanted = None
+                self.exchange(target, wanted)
+
+    def is_lost(self, source, address):
+        if address in self.paused or self.random.random() < self.loss:
+            return True
+        return (source in self.cut) != (address in self.cut)
+
+    def views(self):
+        return [
+            {m.instance for m in table.members.values() if m.is_present}
+            for table in self.tables.values()
+        ]
+
+    def present(self):
+        return {table.node.instance for table in self.tables.values()}
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["cut", "heal", "crash", "restart", "pause", "wake", "lossy"]),
+        st.integers(0, 5),
+        st.floats(0.1, 30.0),
+    ),
+    max_size=10,
+)
+
+
+class TestTick:
+    @settings(max_examples=15)
+    @given(actions=ACTIONS)
+    def test_all_agree_after_the_faults_end(self, actions):
+        network = Network(6)
+        for action, number, seconds in actions:
+            address = ("10.0.0.1", number)
+            if action == "cut":
+                network.cut ^= {address}
+            elif action == "heal":
+                network.cut.clear()
+            elif action == "crash" and len(network.tables) > 2:
+                network.tables.pop(address, None)
+            elif action == "restart":
+                network.start(address)
+            elif action == "pause":
+                network.paused.add(address)
+            elif action == "wake":
+                network.paused.clear()
+            elif action == "lossy":
+                network.loss = 0.3
+            network.run(seconds)
+        network.cut.clear()
+        network.paused.clear()
+        network.loss = 0.0
+        network.run(SETTLE_SECONDS)
+
+        assert network.views() == [network.present()] * len(network.tables)
+
+    def test_both_sides_of_a_lasting_cut_become_one_fleet_again(self):
+        network = Network(8)
+        network.run(5.0)
+        network.cut = {("10.0.0.1", number) for number in range(4)}
+        network.run(600.0)
+        assert {len(view) for view in network.views()} == {4}
+
+        network.cut.clear()
+        network.run(60.0)
+
+        assert network.views() == [network.present()] * 8
+
+    def test_a_crashed_node_is_dead_within_the_bound(self):
+        network = Network(8)
+        network.run(5.0)
+        gone = network.tables.pop(("10.0.0.1", 3))
+        network.run(8 * 1.0 + 2.0 + SUSPICION_SECONDS + 5.0)
+
+        for table in network.tables.values():
+            assert table.members[gone.node.instance].state is MemberState.DEAD
+
+    def test_a_node_that_was_paused_judges_nobody_before_it_is_answered(self):
+        network = Network(5)
+        network.run(5.0)
+        address = ("10.0.0.1", 0)
+        sleeper = network.tables[address]
+        network.paused.add(address)
+        network.run(PAUSE_SECONDS + 60.0)
+        network.paused.clear()
+        network.cut = {address}
+        network.run(20.0)
+
+        assert sleeper.distrusts_itself
+        assert all(m.is_present for m in sleeper.members.values())
+
+    @pytest.mark.parametrize("size", [8, 32, 128])
+    def test_datagrams_per_node_do_not_grow_with_the_fleet(self, size):
+        network = Network(size)
+        network.run(10.0)
+        network.datagrams = 0
+        network.run(10.0)
+
+        # A probe and its answer each second, from each node.
+        assert network.datagrams / size / 10.0 <= 2.5
+
+
+class TestReceive:
+    def test_a_replacement_on_an_old_address_ends_the_old_instance(self):
+        network = Network(4)
+        network.run(5.0)
+        old = network.tables[("10.0.0.1", 1)].node.instance
+        network.start(("10.0.0.1", 1))
+        network.run(15.0)
+
+        assert all(old not in view for view in network.views())
+
+    def test_a_leaving_node_is_no_endpoint_and_still_present(self):
+        network = Network(4)
+        network.run(5.0)
+        address = ("10.0.0.1", 2)
+        leaver = network.tables[address]
+        network.deliver(address, leaver.leave(network.now))
+        network.run(4.0)
+
+        for table in network.tables.values():
+            listed = {m.instance for m in table.by_service["stock"]}
+            assert leaver.node.instance not in listed
+            assert table.members[leaver.node.instance].is_present
+
+
+class TestWatchers:
+    @pytest.mark.parametrize(("size", "expected"), [(2, 2), (8, 4), (100, 4)])
+    def test_number_does_not_grow_with_the_fleet(self, size, expected):
+        network = Network(size)
+        network.run(1.0)
+
+        chosen = [
+            frozenset(m.instance for m in table.watchers())
+            for table in network.tables.values()
+        ]
+
+        assert len(set(chosen)) == 1
+        assert len(chosen[0]) == expected
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -230,24 +230,26 @@
         self._faults = list(faults)
         self._services = services
         self._endpoints = endpoints
+        self._started = 0
         self._group = None
 
     async def __aenter__(self):
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
         for service in self._services:
-            for number in range(self._endpoints):
-                self.add(service, number)
+            for _ in range(self._endpoints):
+                self.add(service)
         return self
 
     async def __aexit__(self, *exception):
         self._group.cancel_scope.cancel()
         return await self._group.__aexit__(*exception)
 
-    def add(self, service, number, domain="a"):
+    def add(self, service, domain="a"):
         """Start a node and tell all others of it."""
-        name = f"{service}{number}{len(self.nodes)}".encode().ljust(8)[:8]
-        member = Member(name, service, "main", domain, "127.0.0.1", len(self.nodes) + 1)
+        self._started += 1
+        name = f"{self._started:03}{service}".encode().ljust(8)[:8]
+        member = Member(name, service, "main", domain, "127.0.0.1", self._started)
         node = FakeNode(self, member, self._group)
         self.nodes[member.instance] = node
         known = [other.membership.node for other in self.nodes.values()]
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -288,7 +288,7 @@
                     elif action == "kill" and len(nodes) > 1:
                         fleet.kill(nodes[choice % len(nodes)])
                     elif action == "restart":
-                        fleet.add("orders", choice)
+                        fleet.add("orders")
                     elif action == "leave" and nodes:
                         nodes[choice % len(nodes)].serving.leaving = True
 
