--- /dev/null
+++ b/tests/core/test_admission.py
@@ -0,0 +1,158 @@
+from collections import Counter
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from ragworthoist import Document
+from ragworthoist.core.admission import Admission, Entry, EntryState
+from ragworthoist.core.entities import Call
+from ragworthoist.core.policy import Policy
+
+SLOTS = 3
+
+
+def make_admission(**defaults):
+    values = {"limit": "fixed", "fixed_limit": SLOTS} | defaults
+    document = Document.model_validate({"defaults": values})
+    return Admission(Policy(document).service("stock"))
+
+
+def make_call(rank=0, kind="order", draw=0, deadline=1000.0, weight=1.0):
+    return Call(
+        request_id=b"r",
+        kind=kind,
+        rank=rank,
+        weight=weight,
+        deadline=deadline,
+        draw=draw,
+        allotment=0,
+        service="stock",
+        method="GET",
+        target="/stock",
+    )
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Compares each decision with what waits, from records of its own."""
+
+    @initialize()
+    def start(self):
+        self.admission = make_admission()
+        self.now = 0.0
+        self.waiting = []
+        self.running = []
+
+    def decide(self, entry):
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+        late = entry.call.deadline <= self.now + self.admission.service_time
+        if entry.state is EntryState.RUNNING:
+            assert not late
+            self.running.append(entry)
+            assert all(w.call.rank >= entry.call.rank for w in self.waiting)
+        elif not late:
+            assert all(w.call.rank <= entry.call.rank for w in self.waiting)
+
+    @rule(
+        rank=st.integers(0, 2),
+        kind=st.integers(0, 2),
+        draw=st.integers(0, 65_535),
+        patience=st.floats(0.0, 5.0),
+        count=st.integers(1, 20),
+    )
+    def offer(self, rank, kind, draw, patience, count):
+        for number in range(count):
+            call = make_call(rank, f"{rank}-{kind}", draw + number, self.now + patience)
+            entry = Entry(call, self.now, self.decide)
+            self.waiting.append(entry)
+            self.admission.offer(entry, self.now)
+
+    @rule(index=st.integers(0, 100), took=st.floats(0.001, 1.0))
+    def finish(self, index, took):
+        if self.running:
+            self.now += took
+            entry = self.running.pop(index % len(self.running))
+            self.admission.finish(entry, self.now)
+
+    @rule(index=st.integers(0, 100))
+    def withdraw(self, index):
+        if self.waiting:
+            entry = self.waiting.pop(index % len(self.waiting))
+            assert self.admission.withdraw(entry)
+
+    @rule(seconds=st.floats(0.0, 2.0))
+    def tick(self, seconds):
+        self.now += seconds
+        self.admission.tick(self.now)
+
+    @invariant()
+    def tables_agree(self):
+        assert len(self.admission) == len(self.waiting) <= self.admission.capacity
+        assert self.admission.in_flight == len(self.running) <= SLOTS
+        if self.waiting:
+            assert len(self.running) == SLOTS
+
+
+TestAdmission = AdmissionMachine.TestCase
+TestAdmission.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+class TestOffer:
+    @pytest.mark.parametrize(
+        ("rates", "weights", "shares"),
+        [
+            ({"listing": 10, "photo": 1}, {}, {"photo": 1.0}),
+            ({"listing": 10, "photo": 10}, {}, {"photo": 0.5, "listing": 0.5}),
+            ({"listing": 20, "photo": 20}, {"photo": 3.0}, {"photo": 0.75}),
+            (
+                {"order": 30, "booking": 3, "welfare": 3},
+                {},
+                {"booking": 3, "welfare": 3},
+            ),
+        ],
+    )
+    def test_a_flood_leaves_other_kinds_of_its_rank_their_share(
+        self, rates, weights, shares
+    ):
+        """Ten calls can be served in each round; `rates` arrive."""
+        admission = make_admission(fixed_limit=10)
+        served = Counter()
+        running = []
+
+        def decide(entry):
+            if entry.state is EntryState.RUNNING:
+                running.append(entry)
+                served[entry.call.kind] += 1
+
+        rounds = 200
+        for number in range(rounds):
+            for kind, rate in rates.items():
+                for draw in range(rate):
+                    call = make_call(0, kind, draw, weight=weights.get(kind, 1.0))
+                    admission.offer(Entry(call, number, decide), number)
+            finished, running[:] = list(running), []
+            for entry in finished:
+                admission.finish(entry, number)
+
+        for kind, share in shares.items():
+            fair = min(rates[kind], share * 10 if share <= 1 else share)
+            assert served[kind] >= 0.9 * fair * rounds
+
+    def test_the_draw_decides_who_is_shed_inside_a_kind(self):
+        admission = make_admission(fixed_limit=1)
+        shed = []
+
+        def decide(entry):
+            if entry.state is EntryState.SHED:
+                shed.append(entry.call.draw)
+
+        draws = [(number * 7919) % 1000 for number in range(200)]
+        for draw in draws:
+            admission.offer(Entry(make_call(draw=draw), 0.0, decide), 0.0)
+
+        waiting = admission.capacity
+        kept = sorted(draws[1:])[:waiting]
+        assert sorted(shed) == sorted(draws[1:])[waiting:]
+        assert len(kept) + len(shed) + 1 == len(draws)
--- /dev/null
+++ b/tests/core/test_levels.py
@@ -0,0 +1,83 @@
+import pytest
+
+from ragworthoist.core.levels import (
+    FULL_LEVEL,
+    DownstreamLevels,
+    HeldLevels,
+    LevelTable,
+    recover_level,
+)
+
+
+def run_windows(table, kinds, shed, count, start=0.0):
+    """Offer ten calls of each kind in each window and shed those in `shed`."""
+    now = start
+    for _ in range(count):
+        for kind, rank in kinds.items():
+            for _ in range(10):
+                table.record(kind, rank, kind in shed)
+        now += 2 * table.WINDOW_SECONDS
+        table.tick(now)
+    return now
+
+
+class TestLevelTable:
+    KINDS = {"urgent": 0, "business": 1, "browsing": 2}
+
+    @pytest.mark.parametrize(
+        ("shed", "lowered"),
+        [
+            (set(), set()),
+            ({"browsing"}, {"browsing"}),
+            ({"business"}, {"business", "browsing"}),
+            ({"urgent"}, {"urgent", "business", "browsing"}),
+        ],
+    )
+    def test_lower_ranks_fall_first(self, shed, lowered):
+        table = LevelTable()
+        run_windows(table, self.KINDS, shed, 8)
+
+        assert set(table.lowered()) == lowered
+        levels = [table.level(kind) for kind in self.KINDS]
+        assert levels == sorted(levels, reverse=True)
+
+    def test_levels_rise_to_full_within_the_recovery_bound(self):
+        table = LevelTable()
+        now = run_windows(table, self.KINDS, {"browsing"}, 30)
+        for _ in range(int(5.0 / table.WINDOW_SECONDS)):
+            now += table.WINDOW_SECONDS
+            table.tick(now)
+
+        assert table.lowered() == {}
+
+
+class TestHeldLevels:
+    def test_levels_are_held_then_rise_and_are_replaced(self):
+        held = HeldLevels()
+        held.hold(b"one", {"order": 1000}, 0.0)
+
+        assert held.level(b"one", "order", 0.1) == 1000
+        assert 1000 < held.level(b"one", "order", 1.0) < FULL_LEVEL
+        assert held.level(b"one", "order", 5.0) == FULL_LEVEL
+        assert held.level(b"one", "other", 0.1) == FULL_LEVEL
+        held.hold(b"one", {}, 0.2)
+        assert held.level(b"one", "order", 0.2) == FULL_LEVEL
+
+
+class TestDownstreamLevels:
+    def test_the_lowest_level_of_the_chain_counts(self):
+        downstream = DownstreamLevels()
+        downstream.record("order", "stock", 300, 0.0)
+        downstream.record("order", "dispatches", 700, 0.0)
+
+        assert downstream.fold({"order": 500, "sample": 9}, 0.1) == {
+            "order": 300,
+            "sample": 9,
+        }
+        assert downstream.fold({}, 10.0) == {}
+
+
+class TestRecoverLevel:
+    @pytest.mark.parametrize("level", [0, 100, FULL_LEVEL])
+    def test_is_full_within_three_seconds(self, level):
+        assert recover_level(level, 3.0) == FULL_LEVEL
--- /dev/null
+++ b/tests/net/test_streams.py
@@ -0,0 +1,282 @@
+import hashlib
+import random
+
+import anyio
+import msgpack
+import pytest
+from fakes import complete
+
+from ragworthoist.core.entities import Call, Outcome, Reason
+from ragworthoist.net.frames import MAX_BODY_BYTES, FrameKind, pack_call
+from ragworthoist.net.streams import PeerStream
+
+KEY = b"k" * 32
+
+
+class FakeHost:
+    """What a stream asks of its node; answers with a digest of each call's body."""
+
+    def __init__(self, name, key=KEY, delays=None):
+        self.instance = name
+        self.key = key
+        self.clock = anyio.current_time
+        self.served = []
+        self.cancelled = []
+        self.refused = []
+        self.lost = 0
+        self.tasks = None
+        self._random = random.Random(1)
+        self._delays = delays
+
+    def serve_call(self, call, reply):
+        self.served.append(call.target)
+        self.tasks.start_soon(self._answer, call, reply)
+        return call.target
+
+    async def _answer(self, call, reply):
+        if self._delays:
+            await anyio.sleep(self._random.uniform(*self._delays))
+        size = int(call.target.split("/")[-1])
+        reply(complete(hashlib.sha256(call.body).digest() + bytes(size)))
+
+    def cancel_call(self, handle):
+        self.cancelled.append(handle)
+
+    def exchange_members(self, records):
+        return [records, "ours"]
+
+    def fetch_configuration(self):
+        return b"document"
+
+    def report_refused_peer(self, _peer, error):
+        self.refused.append(type(error).__name__)
+
+    def report_lost_peer(self, _stream):
+        self.lost += 1
+
+
+class CutTransport:
+    """Closes the connection after a number of bytes has been sent."""
+
+    def __init__(self, transport, limit):
+        self._transport = transport
+        self._left = limit
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_exception):
+        await self._transport.aclose()
+
+    async def send(self, data):
+        part = data[: self._left]
+        self._left -= len(part)
+        if part:
+            await self._transport.send(part)
+        if self._left <= 0:
+            await self._transport.aclose()
+            raise anyio.BrokenResourceError
+
+    async def receive(self, size):
+        return await self._transport.receive(size)
+
+
+def make_call(target="/0", body=b"", deadline=None):
+    return Call(
+        request_id=b"r" * 16,
+        kind="order",
+        rank=1,
+        weight=1.0,
+        deadline=anyio.current_time() + 10.0 if deadline is None else deadline,
+        draw=7,
+        allotment=2,
+        service="orders",
+        method="POST",
+        target=target,
+        headers=[(b"name", b"value")],
+        body=body,
+    )
+
+
+async def run_pair(scenario, opener=None, acceptor=None, cut=None):
+    """Run `scenario(stream, acceptor)` over a connection on loopback."""
+    opener = opener or FakeHost(b"opener00")
+    acceptor = acceptor or FakeHost(b"accept00")
+    accepted = anyio.Event()
+    async with (
+        await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+        anyio.create_task_group() as tasks,
+    ):
+        opener.tasks = acceptor.tasks = tasks
+
+        async def accept(transport):
+            stream = PeerStream(transport, acceptor, opened=False)
+            await stream.run()
+            accepted.set()
+
+        tasks.start_soon(listener.serve, accept)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        transport = await anyio.connect_tcp("127.0.0.1", port)
+        if cut is not None:
+            transport = CutTransport(transport, cut)
+        stream = PeerStream(transport, opener, opened=True)
+        try:
+            await tasks.start(stream.run)
+            result = await scenario(stream, acceptor)
+        except RuntimeError:
+            result = None
+        stream.close()
+        await accepted.wait()
+        tasks.cancel_scope.cancel()
+    return result
+
+
+class TestCall:
+    def test_interleaved_calls_get_their_own_whole_answers(self):
+        sizes = [0, 1, 32_768, 32_769, 100_000, 1_000_000]
+
+        async def scenario(stream, _acceptor):
+            answers = {}
+
+            async def ask(number, size):
+                body = random.Random(number).randbytes(size)
+                call = make_call(f"/{number}/{sizes[-1 - number % len(sizes)]}", body)
+                answers[number] = (body, await stream.call(call))
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(4 * len(sizes)):
+                    tasks.start_soon(ask, number, sizes[number % len(sizes)])
+            return answers
+
+        acceptor = FakeHost(b"accept00", delays=(0.0, 0.02))
+        answers = anyio.run(lambda: run_pair(scenario, acceptor=acceptor))
+
+        for number, (body, answer) in answers.items():
+            assert answer.outcome is Outcome.COMPLETED
+            size = sizes[-1 - number % len(sizes)]
+            assert answer.body == hashlib.sha256(body).digest() + bytes(size)
+
+    def test_the_largest_body_is_carried_whole_both_ways(self):
+        async def scenario(stream, _acceptor):
+            body = bytes(MAX_BODY_BYTES)
+            return await stream.call(make_call(f"/{MAX_BODY_BYTES - 32}", body))
+
+        answer = anyio.run(lambda: run_pair(scenario))
+
+        assert len(answer.body) == MAX_BODY_BYTES
+        assert answer.body[:32] == hashlib.sha256(bytes(MAX_BODY_BYTES)).digest()
+
+    @pytest.mark.parametrize("body_size", [0, 40_000])
+    def test_a_cut_at_any_byte_never_makes_a_false_not_run(self, body_size):
+        async def scenario(stream, acceptor):
+            answer = await stream.call(make_call(body=bytes(body_size)))
+            return answer, list(acceptor.served)
+
+        async def run(cut):
+            acceptor = FakeHost(b"accept00")
+            result = await run_pair(scenario, acceptor=acceptor, cut=cut)
+            return result, acceptor.served
+
+        async def run_all():
+            step = 1 if body_size == 0 else 499
+            return [await run(cut) for cut in range(1, 1400 + body_size, step)]
+
+        outcomes = set()
+        for result, served in anyio.run(run_all):
+            if result is None:
+                assert not served
+                continue
+            answer = result[0]
+            outcomes.add(answer.outcome)
+            if answer.outcome is Outcome.NOT_RUN:
+                assert not served
+            if answer.outcome is Outcome.UNKNOWN:
+                assert (answer.reason, answer.unused) == (Reason.PEER_LOST, 0)
+        assert outcomes == {Outcome.UNKNOWN, Outcome.COMPLETED}
+
+    def test_a_late_answer_reaches_nobody_else(self):
+        async def scenario(stream, _acceptor):
+            late = make_call("/late/5", deadline=anyio.current_time() + 0.01)
+            first = await stream.call(late)
+            second = await stream.call(make_call("/next/9", b"next"))
+            return first, second
+
+        acceptor = FakeHost(b"accept00", delays=(0.2, 0.3))
+        first, second = anyio.run(lambda: run_pair(scenario, acceptor=acceptor))
+
+        assert (first.outcome, first.reason) == (Outcome.UNKNOWN, Reason.DEADLINE)
+        assert second.body == hashlib.sha256(b"next").digest() + bytes(9)
+        assert acceptor.cancelled == ["/late/5"]
+
+    def test_a_caller_that_gives_up_cancels_the_call(self):
+        async def scenario(stream, acceptor):
+            with anyio.move_on_after(0.05):
+                await stream.call(make_call("/gone/0"))
+            while not acceptor.cancelled:
+                await anyio.sleep(0.01)
+            return acceptor.cancelled
+
+        acceptor = FakeHost(b"accept00", delays=(5.0, 5.0))
+        assert anyio.run(lambda: run_pair(scenario, acceptor=acceptor)) == ["/gone/0"]
+
+
+class TestRun:
+    def test_a_peer_without_the_key_is_refused(self):
+        async def scenario(_stream, _acceptor):
+            return "connected"
+
+        opener = FakeHost(b"opener00", key=b"other key" * 3)
+        acceptor = FakeHost(b"accept00")
+        anyio.run(lambda: run_pair(scenario, opener, acceptor))
+
+        assert "AuthenticationError" in acceptor.refused + opener.refused
+        assert not acceptor.served
+
+    @pytest.mark.parametrize(
+        "frame",
+        [
+            [99, 1],
+            [int(FrameKind.CALL), 3],
+            [int(FrameKind.CALL), "id", 1],
+            [int(FrameKind.CALL), 2, *[None] * 16],
+            [int(FrameKind.CHUNK), 3],
+            [int(FrameKind.ANSWER), 3],
+            "text",
+            7,
+            {},
+        ],
+    )
+    def test_a_malformed_frame_ends_the_stream_only(self, frame):
+        async def scenario(stream, acceptor):
+            stream._out.append(msgpack.packb(frame))
+            stream._wake.set()
+            while not acceptor.lost:
+                await anyio.sleep(0.01)
+
+        acceptor = FakeHost(b"accept00")
+        anyio.run(lambda: run_pair(scenario, acceptor=acceptor))
+
+        assert acceptor.refused == ["FrameError"]
+
+    def test_an_id_seen_again_ends_the_stream(self):
+        async def scenario(stream, acceptor):
+            frame = pack_call(101, make_call("/0"), 5.0)
+            stream._send(frame)
+            stream._send(frame)
+            while not acceptor.lost:
+                await anyio.sleep(0.01)
+
+        acceptor = FakeHost(b"accept00", delays=(1.0, 1.0))
+        anyio.run(lambda: run_pair(scenario, acceptor=acceptor))
+
+        assert acceptor.served == ["/0"]
+        assert acceptor.refused == ["FrameError"]
+
+
+class TestExchange:
+    def test_members_and_documents_travel(self):
+        async def scenario(stream, _acceptor):
+            return await stream.exchange([1, 2]), await stream.fetch()
+
+        result = anyio.run(lambda: run_pair(scenario))
+        assert result == ([[1, 2], "ours"], b"document")
