--- /dev/null
+++ b/bench/latency.py
@@ -0,0 +1,129 @@
+"""Latency added to a call and processor time of a node, against a direct call.
+
+Calls go to the backend server directly, through its own node (one hop), and
+through the node of another service (two hops), in turn in the same run and at a
+fixed modest rate.
+"""
+
+import json
+import os
+from pathlib import Path
+
+import aiohttp
+import anyio
+import defopt
+
+from ragworthoist_lab.fleet import Fleet, ServiceSpec
+from ragworthoist_lab.load import Customers, Stream
+from ragworthoist_lab.report import percentile
+
+RESULTS = Path(__file__).parent / "results" / "latency.json"
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+INTERVAL_SECONDS = 0.005
+WARM_UP_CALLS = 300
+REFUSAL_SECONDS = 6.0
+REFUSAL_RATE = 400.0
+LOOP = {"backend_options": {"use_uvloop": True}}
+SERVICES = [ServiceSpec("stock", 1, 64, 0.0), ServiceSpec("orders", 1, 64, 0.0)]
+
+
+def read_cpu_seconds(process):
+    """Return the processor time of a process, in seconds."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def measure(*, calls: int = 3000, rounds: int = 2, path: Path = RESULTS):
+    """Measure added latency, processor time per call, and the cost of a refusal.
+
+    :param calls: calls by each way in each round
+    :param rounds: number of rounds
+    :param path: where to write the figures
+    """
+    with Fleet(SERVICES) as fleet:
+        figures = [
+            anyio.run(_measure_round, fleet, calls, **LOOP) for _ in range(rounds)
+        ]
+        refusal = anyio.run(_measure_refusals, fleet, **LOOP)
+    path.parent.mkdir(exist_ok=True)
+    path.write_text(json.dumps({"rounds": figures, "refusal": refusal}, indent=1))
+    print(
+        "| way | " + " | ".join(f"round {i + 1}, p50 / p99 ms" for i in range(rounds))
+    )
+    print("|" + " --- |" * (rounds + 1))
+    for way in ("direct", "one hop", "two hops"):
+        cells = [f"{f[way]['p50']:.2f} / {f[way]['p99']:.2f}" for f in figures]
+        print(f"| {way} | " + " | ".join(cells) + " |")
+    for way in ("one hop", "two hops"):
+        added = [f"{f[way]['p99'] - f['direct']['p99']:.2f}" for f in figures]
+        print(f"added by {way} at p99, ms: {', '.join(added)}")
+    for name, value in refusal.items():
+        print(f"{name}: {value:.3f}")
+
+
+async def _measure_round(fleet, calls):
+    stock, orders = fleet.endpoints
+    ways = {
+        "direct": stock.server_url,
+        "one hop": stock.entrance,
+        "two hops": orders.entrance,
+    }
+    seconds = {way: [] for way in ways}
+    body = b"x" * 200
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        for number in range(calls + WARM_UP_CALLS):
+            for way, url in ways.items():
+                started = anyio.current_time()
+                async with session.get(f"{url}/stock/check", data=body) as response:
+                    await response.read()
+                    assert response.status == 200
+                if number >= WARM_UP_CALLS:
+                    seconds[way].append(anyio.current_time() - started)
+                await anyio.sleep(INTERVAL_SECONDS / len(ways))
+    return {
+        way: {
+            "p50": 1000 * percentile(sorted(found), 0.5),
+            "p99": 1000 * percentile(sorted(found), 0.99),
+        }
+        for way, found in seconds.items()
+    }
+
+
+async def _measure_refusals(fleet):
+    """Return processor time per served and per refused call, in milliseconds."""
+    orders = fleet.endpoints[1]
+    served = await _drive(fleet, orders)
+    for endpoint in fleet.of("stock"):
+        await anyio.to_thread.run_sync(
+            fleet.control_server, endpoint, "behaviour", {"service_seconds": 5.0}
+        )
+    await _drive(fleet, orders)
+    refused = await _drive(fleet, orders)
+    return {
+        "served, entrance ms": served["entrance"],
+        "served, callee ms": served["callee"],
+        "refused, entrance ms": refused["entrance"],
+        "refused, callee ms": refused["callee"],
+        "share refused": refused["share refused"],
+    }
+
+
+async def _drive(fleet, entrance):
+    stock = fleet.endpoints[0]
+    stream = Stream("check", "urgent", "GET", "/stock/check", REFUSAL_RATE)
+    before = read_cpu_seconds(entrance.node), read_cpu_seconds(stock.node)
+    async with Customers(lambda: [entrance.entrance]) as customers:
+        await customers.run([stream], REFUSAL_SECONDS)
+    after = read_cpu_seconds(entrance.node), read_cpu_seconds(stock.node)
+    count = len(customers.results)
+    refused = sum(r.outcome == "not-run" for r in customers.results)
+    return {
+        "entrance": 1000 * (after[0] - before[0]) / count,
+        "callee": 1000 * (after[1] - before[1]) / count,
+        "share refused": refused / count,
+    }
+
+
+if __name__ == "__main__":
+    defopt.run(measure, cli_options="has_default")
--- a/src/ragworthoist/core/admission.py
+++ b/src/ragworthoist/core/admission.py
@@ -38,7 +38,8 @@
     """One call in the admission table.
 
     `notify` is called with the entry when it leaves the queue: its state is then
-    `RUNNING` (hand it over) or `SHED` (it will never run).
+    `RUNNING` (hand it over) or `SHED` (it will never run). `queue` is the rank and
+    kind it waits under, which a change of policy does not move.
     """
 
     call: object
@@ -46,6 +47,7 @@
     notify: object
     state: EntryState = EntryState.WAITING
     started: float = 0.0
+    queue: tuple = ()
 
 
 @orders.register("first_in")
@@ -87,10 +89,9 @@
 
 
 class _KindQueue:
-    __slots__ = ("rank", "name", "weight", "entries", "virtual_time")
+    __slots__ = ("name", "weight", "entries", "virtual_time")
 
-    def __init__(self, rank, name, weight):
-        self.rank = rank
+    def __init__(self, name, weight):
         self.name = name
         self.weight = weight
         self.entries = deque()
@@ -109,9 +110,10 @@
 
     def add(self, entry):
         call = entry.call
-        kind = self.kinds.get(call.kind)
+        name = entry.queue[1]
+        kind = self.kinds.get(name)
         if kind is None:
-            kind = self.kinds[call.kind] = _KindQueue(call.rank, call.kind, call.weight)
+            kind = self.kinds[name] = _KindQueue(name, call.weight)
         kind.weight = call.weight
         if not kind.entries:
             kind.virtual_time = max(kind.virtual_time, self.virtual_time)
@@ -122,12 +124,6 @@
         waiting = (kind for kind in self.kinds.values() if kind.entries)
         return min(waiting, key=lambda kind: kind.virtual_time)
 
-    def charge(self, call, cost):
-        """Account server time used by a call that did not wait."""
-        kind = self.kinds.get(call.kind)
-        if kind is not None:
-            kind.virtual_time += cost / call.weight
-
     def longest_kind(self):
         return max(self.kinds.values(), key=lambda k: len(k.entries) / k.weight)
 
@@ -261,19 +257,20 @@
         entry.state = EntryState.SHED
         entry.notify(entry)
 
-    def _rank_of(self, call):
-        return call.rank if self.policy.rank_order else 0
+    def _queue_of(self, call):
+        # Without ranks there is one queue for all kinds; a baseline.
+        return (call.rank, call.kind) if self.policy.rank_order else (0, "")
 
     def _enqueue(self, entry):
-        rank = self._ranks.get(self._rank_of(entry.call))
-        if rank is None:
-            rank = self._ranks[self._rank_of(entry.call)] = _RankQueue()
+        entry.queue = self._queue_of(entry.call)
+        rank = self._ranks.setdefault(entry.queue[0], _RankQueue())
         rank.add(entry)
         self._length += 1
 
     def _remove(self, entry):
-        rank = self._ranks[self._rank_of(entry.call)]
-        rank.kinds[entry.call.kind].entries.remove(entry)
+        index, kind = entry.queue
+        rank = self._ranks[index]
+        rank.kinds[kind].entries.remove(entry)
         rank.length -= 1
         self._length -= 1
 
--- a/src/ragworthoist/core/levels.py
+++ b/src/ragworthoist/core/levels.py
@@ -46,7 +46,7 @@
     WINDOW_SECONDS = 0.2
     MIN_LEVEL = 0.01 * FULL_LEVEL
     RAISE = 0.04 * FULL_LEVEL
-    RAISE_FACTOR = 1.08
+    RAISE_IDLE = 0.2 * FULL_LEVEL
     SHED_TOLERANCE = 0.05
     FULLNESS_TARGET = 0.5
     PRESSURE_GAIN = 0.3
@@ -124,8 +124,8 @@
                 self.MIN_LEVEL, window.level * (1.0 - min(excess, self.MAX_FALL))
             )
         elif window.level < FULL_LEVEL and fullness < self.FULLNESS_TARGET:
-            raised = max(window.level * self.RAISE_FACTOR, window.level + self.RAISE)
-            window.level = min(float(FULL_LEVEL), raised)
+            step = self.RAISE_IDLE if fullness == 0.0 else self.RAISE
+            window.level = min(float(FULL_LEVEL), window.level + step)
 
 
 class HeldLevels:
--- a/src/ragworthoist/core/tickets.py
+++ b/src/ragworthoist/core/tickets.py
@@ -8,6 +8,7 @@
 import base64
 import binascii
 import hashlib
+import heapq
 import hmac
 from dataclasses import dataclass
 from enum import IntEnum
@@ -89,6 +90,7 @@
     def __init__(self, instance):
         self.instance = instance
         self._records = {}
+        self._expiries = []
 
     def __len__(self):
         return len(self._records)
@@ -108,17 +110,20 @@
             return record, False
         record = TicketRecord(ticket.expires, fingerprint)
         self._records[ticket.nonce] = record
+        heapq.heappush(self._expiries, (ticket.expires, ticket.nonce))
         return record, True
 
     def expire(self, now):
         """Forget settled records whose tickets can no longer be used."""
-        gone = [
-            nonce
-            for nonce, record in self._records.items()
-            if record.expires <= now and record.state >= TicketState.DONE
-        ]
-        for nonce in gone:
-            del self._records[nonce]
+        unsettled = []
+        while self._expiries and self._expiries[0][0] <= now:
+            expires, nonce = heapq.heappop(self._expiries)
+            if self._records[nonce].state >= TicketState.DONE:
+                del self._records[nonce]
+            else:
+                unsettled.append((expires, nonce))
+        for expiry in unsettled:
+            heapq.heappush(self._expiries, expiry)
 
     def count_states(self):
         """Return the number of records in each state, by name."""
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -156,3 +156,22 @@
         kept = sorted(draws[1:])[:waiting]
         assert sorted(shed) == sorted(draws[1:])[waiting:]
         assert len(kept) + len(shed) + 1 == len(draws)
+
+
+class TestApply:
+    def test_what_waits_is_kept_when_the_policy_changes(self):
+        admission = make_admission(fixed_limit=1)
+        decided = []
+        entries = [Entry(make_call(rank), 0.0, decided.append) for rank in (1, 2, 0)]
+        for entry in entries:
+            admission.offer(entry, 0.0)
+        document = Document.model_validate(
+            {"defaults": {"limit": "fixed", "fixed_limit": 1, "rank_order": False}}
+        )
+        admission.apply(Policy(document).service("stock"))
+
+        for expected in (entries[0], entries[2], entries[1]):
+            assert decided[-1] is expected
+            admission.finish(expected, 1.0)
+
+        assert len(admission) == admission.in_flight == 0
