Bound the head of requests and refuse bad input as not run

Cause: uvicorn's parser collects a head of any length, and answers malformed HTTP without an outcome, so a customer could not tell that nothing ran.

Before: a head of 300 kB without an end was read on and on; garbage got a 400 in plain text.

--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -183,6 +183,7 @@
     def _follow_up(self):
         """Start what the membership has found worth asking a peer for."""
         membership = self.membership
+        self._log_changes()
         sync_with = membership.members.get(membership.sync_wanted)
         membership.sync_wanted = None
         if sync_with is not None and sync_with.is_present:
@@ -192,6 +193,20 @@
         if newer is not None and newer.is_present:
             self.tasks.start_soon(self.fetch_configuration_from, newer)
 
+    def _log_changes(self):
+        membership = self.membership
+        for member in membership.changed:
+            log_event(
+                Event.MEMBER_CHANGED,
+                member=member.instance.hex(),
+                service=member.service,
+                state=member.state.name.lower(),
+            )
+        membership.changed.clear()
+        if membership.paused_seconds:
+            log_event(Event.NODE_WAS_PAUSED, seconds=membership.paused_seconds)
+            membership.paused_seconds = 0.0
+
     async def _exchange_with(self, member):
         stream = await self.peers.open_to(member)
         if stream is None:
--- a/src/ragworthoist/core/membership.py
+++ b/src/ragworthoist/core/membership.py
@@ -159,6 +159,8 @@
         self.sync_wanted = None
         self.newer_configuration = None
         self.versions = {}
+        self.changed = []
+        self.paused_seconds = 0.0
         self.distrusts_itself = False
         self._random = random
         self._transmissions = {}
@@ -179,6 +181,7 @@
         """Run probes and verdicts that are due; return datagrams to send."""
         out = []
         if now - self._last_tick > PAUSE_SECONDS:
+            self.paused_seconds = now - self._last_tick
             self._recover_from_pause(now)
         self._last_tick = now
         self._judge_suspects(now)
@@ -429,6 +432,7 @@
         else:
             self._dead_since.setdefault(member.instance, now)
         if known is None or known.state != member.state:
+            self.changed.append(member)
             self._rebuild_services()
 
     def _rebuild_services(self):
--- a/src/ragworthoist/net/httpserver.py
+++ b/src/ragworthoist/net/httpserver.py
@@ -6,14 +6,60 @@
 import uvicorn
 from hypercorn.asyncio import serve as serve_hypercorn
 from hypercorn.config import Config
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from ragworthoist.core.entities import Outcome, Reason
 from ragworthoist.exceptions import NotReadyError
+from ragworthoist.net.web import MAX_HEADER_BYTES, OUTCOME, REASON
 
 BACKLOG = 2048
 KEEP_ALIVE_SECONDS = 30
 START_POLL_SECONDS = 0.01
 
 
+class _BoundedProtocol(HttpToolsProtocol):
+    """HTTP with a bound on the head of a request, and refusals that name the outcome.
+
+    The parser of uvicorn collects a head of any length before anyone sees it.
+    """
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self._in_head = True
+        self._head_bytes = 0
+
+    def on_message_begin(self):
+        self._in_head = True
+        self._head_bytes = 0
+        super().on_message_begin()
+
+    def on_headers_complete(self):
+        self._in_head = False
+        super().on_headers_complete()
+
+    def data_received(self, data):
+        was_in_head = self._in_head
+        super().data_received(data)
+        if was_in_head and self._in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEADER_BYTES:
+                self._refuse(431, "Request Header Fields Too Large", Reason.TOO_LARGE)
+
+    def send_400_response(self, _message):
+        self._refuse(400, "Bad Request", Reason.MALFORMED)
+
+    def _refuse(self, status, phrase, reason):
+        lines = [
+            f"HTTP/1.1 {status} {phrase}",
+            f"{OUTCOME.decode()}: {Outcome.NOT_RUN.label}",
+            f"{REASON.decode()}: {reason.value}",
+            "content-length: 0",
+            "connection: close",
+        ]
+        self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        self.transport.close()
+
+
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the node."""
 
@@ -40,7 +86,7 @@
             application,
             host=host,
             port=port,
-            http="httptools",
+            http=_BoundedProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
--- a/src/ragworthoist_lab/fleet.py
+++ b/src/ragworthoist_lab/fleet.py
@@ -67,7 +67,11 @@
 
 @dataclass
 class Fleet:
-    """Processes of a fleet; leaving the context ends them all."""
+    """Processes of a fleet; leaving the context ends them all.
+
+    With `share_servers` the nodes of a service stand beside one backend server
+    process, which saves processes when only the nodes are of interest.
+    """
 
     services: list
     domains: tuple = ("a", "b", "c")
@@ -76,7 +80,7 @@
     store: subprocess.Popen = None
     store_port: int = 0
     seed: int = 1
-    seeds: list = field(default_factory=list)
+    share_servers: bool = False
     _folder: object = None
 
     def __enter__(self):
@@ -192,8 +196,13 @@
                 number += 1
         seeds = [e.ports["peers"] for e in self.endpoints[:3]]
         for index, endpoint in enumerate(self.endpoints):
+            first = self.of(endpoint.spec.name)[0]
+            if self.share_servers and endpoint is not first:
+                endpoint.ports["server"] = first.ports["server"]
+                endpoint.server = first.server
+            else:
+                self.start_server(endpoint)
             self._write_settings(index, endpoint, seeds)
-            self.start_server(endpoint)
         for endpoint in self.endpoints:
             _wait_for_port(endpoint.ports["server"], endpoint.server)
         for endpoint in self.endpoints:
--- a/tests/lab/test_path.py
+++ b/tests/lab/test_path.py
@@ -1,5 +1,7 @@
 """The whole path through real processes."""
 
+import socket
+
 import anyio
 import pytest
 
@@ -50,3 +52,51 @@
         assert [r.tries for r in results] == [tries] * len(results)
         records = fleet.read_records()
         assert not find_violations(results, records, {"orders", "stock"})
+
+
+def send_raw(port, data):
+    """Return what a node answers to raw bytes before it closes the connection."""
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as connection:
+        try:
+            connection.sendall(data)
+            answer = connection.recv(65_536)
+            while part := connection.recv(65_536):
+                answer += part
+        except ConnectionResetError:
+            pass
+    return answer.decode()
+
+
+def make_request(path, *headers, method="GET"):
+    lines = [f"{method} {path} HTTP/1.1", "host: x", "connection: close", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("data", "status", "reason"),
+        [
+            (b"\0garbage\r\n\r\n", "400", "malformed"),
+            (b"GET nothing\r\n\r\n", "400", "malformed"),
+            (make_request("/stock/1", "a: " + "x" * 40_000), "431", "too-large"),
+            (b"GET /stock/1 HTTP/1.1\r\na: " + b"x" * 300_000, "431", "too-large"),
+            (make_request("/nowhere/1"), "404", "unknown-route"),
+            (make_request("/"), "404", "unknown-route"),
+            (
+                make_request("/stock/1", "ragworthoist-deadline-ms: 0"),
+                "504",
+                "deadline",
+            ),
+            (
+                make_request("/stock/1", "content-length: 9000000", method="PUT"),
+                "413",
+                "too-large",
+            ),
+        ],
+    )
+    def test_is_refused_as_not_run_and_named(self, fleet, data, status, reason):
+        answer = send_raw(fleet.endpoints[0].ports["entrance"], data)
+
+        assert answer.split(" ")[1] == status
+        assert "ragworthoist-outcome: not-run" in answer
+        assert f"ragworthoist-reason: {reason}" in answer
