Test one binary, a split network, leaving without gossip and carried levels

Cause: the promises on leaving and on configuration had no proof for a node that gossip cannot reach and for regions that lose each other; the binary had no test.

Two groups of customers used the same ids for different orders; groups now have names.

Measured: with levels carried, fewer than 700 of 1,000 requests reach the first service when 400 can be served; without, more. A leaver that gossip cannot reach gets at most 2 calls of 60, all 60 complete elsewhere.

--- a/src/ragworthoist_lab/__main__.py
+++ b/src/ragworthoist_lab/__main__.py
@@ -4,6 +4,7 @@
 
 import defopt
 
+from ragworthoist_lab.cut import run_cuttable_node
 from ragworthoist_lab.demonstration import demonstrate
 from ragworthoist_lab.server import run_server
 from ragworthoist_lab.store import run_store
@@ -11,7 +12,12 @@
 
 def main():
     """Run one command of the tool."""
-    commands = {"store": run_store, "server": run_server, "demonstrate": demonstrate}
+    commands = {
+        "store": run_store,
+        "server": run_server,
+        "node": run_cuttable_node,
+        "demonstrate": demonstrate,
+    }
     sys.exit(defopt.run(commands, cli_options="has_default"))
 
 
--- /dev/null
+++ b/src/ragworthoist_lab/cut.py
@@ -0,0 +1,98 @@
+"""A node whose links can be cut, for tests of split networks.
+
+The node is the real one; only sending and connecting look at a file that lists
+the ports of loopback that cannot be reached now.
+"""
+
+import json
+import sys
+from pathlib import Path
+
+import anyio
+import eliot
+
+from ragworthoist import load_settings
+from ragworthoist._node import Node
+from ragworthoist.exceptions import StoreUnavailableError
+from ragworthoist.net.datagrams import Datagrams
+from ragworthoist.net.peers import PeerTable
+from ragworthoist.store.etcd import EtcdStore
+
+POLL_SECONDS = 0.05
+
+
+class _Links:
+    """The ports that cannot be reached, read anew from a file."""
+
+    def __init__(self, path):
+        self._path = Path(path)
+        self.ports = frozenset()
+
+    async def follow(self, node):
+        while True:
+            await anyio.sleep(POLL_SECONDS)
+            if not self._path.exists():
+                continue
+            self.ports = frozenset(json.loads(self._path.read_text()))
+            for instance, stream in list(node.peers._streams.items()):
+                member = node.membership.members.get(instance)
+                if member is not None and member.port in self.ports:
+                    stream.close()
+
+
+def _cut_datagrams(links):
+    send = Datagrams.send
+
+    async def send_reachable(self, outgoing):
+        kept = [(m, a) for m, a in outgoing if a[1] not in links.ports]
+        await send(self, kept)
+
+    Datagrams.send = send_reachable
+
+
+def _cut_streams(links):
+    connect = PeerTable._connect
+
+    async def connect_reachable(self, address):
+        return None if address[1] in links.ports else await connect(self, address)
+
+    PeerTable._connect = connect_reachable
+
+
+def _cut_store(links, port):
+    post, watch = EtcdStore._post, EtcdStore.watch
+
+    async def post_reachable(self, operation, path, body):
+        if port in links.ports:
+            raise StoreUnavailableError(operation, "cut")
+        return await post(self, operation, path, body)
+
+    async def watch_reachable(self, key, revision):
+        async for value in watch(self, key, revision):
+            if port in links.ports:
+                raise StoreUnavailableError("watch", "cut")
+            yield value
+
+    EtcdStore._post = post_reachable
+    EtcdStore.watch = watch_reachable
+
+
+def run_cuttable_node(settings: Path):
+    """Run a node whose links are cut to the ports in the file SETTINGS.cut.
+
+    :param settings: TOML file with the settings of the node
+    """
+    loaded = load_settings(settings)
+    eliot.to_file(open(loaded.log.path, "a") if loaded.log.path else sys.stderr)  # noqa: SIM115
+    links = _Links(f"{settings}.cut")
+    _cut_datagrams(links)
+    _cut_streams(links)
+    _cut_store(links, int(loaded.store.url.rsplit(":", 1)[1]))
+
+    async def run():
+        node = Node(loaded)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(links.follow, node)
+            await node.run()
+
+    anyio.run(run, backend_options={"use_uvloop": True})
--- a/src/ragworthoist_lab/fleet.py
+++ b/src/ragworthoist_lab/fleet.py
@@ -81,6 +81,7 @@
     store_port: int = 0
     seed: int = 1
     share_servers: bool = False
+    cuttable: bool = False
     _folder: object = None
 
     def __enter__(self):
@@ -131,7 +132,8 @@
     def start_node(self, endpoint):
         """Start the node of `endpoint`."""
         log = open(endpoint.settings_path + ".err", "ab")  # noqa: SIM115
-        command = [sys.executable, "-m", "ragworthoist", "node", endpoint.settings_path]
+        program = "ragworthoist_lab" if self.cuttable else "ragworthoist"
+        command = [sys.executable, "-m", program, "node", endpoint.settings_path]
         endpoint.node = subprocess.Popen(command, stdout=log, stderr=log)
         log.close()
 
@@ -141,13 +143,14 @@
         deadline = time.monotonic() + START_TIMEOUT_SECONDS
         wanted = len([e for e in self.endpoints if e.node and e.node.poll() is None])
         for endpoint in endpoints:
-            while self._count_alive(endpoint) < wanted:
+            while self.count_alive(endpoint) < wanted:
                 if endpoint.node.poll() is not None or time.monotonic() > deadline:
                     errors = Path(endpoint.settings_path + ".err").read_text()
                     raise StartError(f"{endpoint.spec.name}: {errors[-2000:]}")
                 time.sleep(POLL_SECONDS)
 
-    def _count_alive(self, endpoint):
+    def count_alive(self, endpoint):
+        """Return how many members a node holds for alive, 0 if it does not answer."""
         try:
             status = self.ask(endpoint, "/status")
         except (OSError, ValueError):
@@ -176,6 +179,20 @@
             records.setdefault(endpoint.spec.name, []).extend(found)
         return records
 
+    def cut(self, group, with_store=True):
+        """Cut the links between the endpoints in `group` and all others.
+
+        The store stays with the others, unless `with_store` is false. An empty
+        group heals all links.
+        """
+        for endpoint in self.endpoints:
+            inside = endpoint in group
+            others = [e for e in self.endpoints if (e in group) != inside]
+            ports = [e.ports["peers"] for e in others]
+            if inside and with_store:
+                ports.append(self.store_port)
+            Path(endpoint.settings_path + ".cut").write_text(json.dumps(ports))
+
     def stop_node(self, endpoint):
         """Stop a node gracefully and return its exit code."""
         endpoint.node.send_signal(signal.SIGTERM)
--- a/src/ragworthoist_lab/load.py
+++ b/src/ragworthoist_lab/load.py
@@ -66,10 +66,13 @@
         Returns the list of URLs of entrances that are open now.
     seed : int
         Seed of arrivals and of the choice of entrances.
+    name : str
+        Prefix of the ids of requests, to tell several groups of customers apart.
     """
 
     entrances: object
     seed: int = 1
+    name: str = ""
     results: list = field(default_factory=list)
     _session: aiohttp.ClientSession = None
     _tasks: object = None
@@ -105,7 +108,7 @@
             if delay > 0:
                 await anyio.sleep(delay)
             self._count += 1
-            item = f"{stream.kind}-{self._count}"
+            item = f"{self.name}{stream.kind}-{self._count}"
             self._tasks.start_soon(self.request, stream, item, source.random())
             due += source.expovariate(stream.rate)
 
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -117,7 +117,7 @@
 
         assert not find_violations(results, fleet.read_records(), NON_IDEMPOTENT)
         assert any(r.completed for r in results)
-        wait_until(lambda: fleet._count_alive(frozen) == len(fleet.endpoints))
+        wait_until(lambda: fleet.count_alive(frozen) == len(fleet.endpoints))
 
     def test_a_restart_on_the_same_address_doubles_no_order(self, fleet):
         killed = fleet.of("orders")[0]
@@ -132,7 +132,7 @@
         results = drive(fleet, 6.0, restart)
 
         assert not find_violations(results, fleet.read_records(), NON_IDEMPOTENT)
-        wait_until(lambda: fleet._count_alive(fleet.of("stock")[0]) == 4)
+        wait_until(lambda: fleet.count_alive(fleet.of("stock")[0]) == 4)
 
     def test_a_killed_server_loses_no_idempotent_request(self, fleet):
         killed = fleet.of("stock")[0]
--- /dev/null
+++ b/tests/lab/test_split.py
@@ -0,0 +1,66 @@
+"""A cut between two groups of real nodes that lasts, then heals."""
+
+import time
+
+import anyio
+import pytest
+
+from ragworthoist._commands import run_command
+from ragworthoist_lab.fleet import Fleet, ServiceSpec
+from ragworthoist_lab.load import Customers, Stream
+from ragworthoist_lab.report import find_violations
+
+pytestmark = pytest.mark.processes
+
+SERVICES = [ServiceSpec("orders", 4, 8, 5), ServiceSpec("stock", 4, 8, 5)]
+DOMAINS = ("a", "b", "c", "d")
+STREAMS = [
+    Stream("order", "protected", "POST", "/orders/new", 10, body=b"2", repeats=4),
+    Stream("check", "protected", "GET", "/stock/check", 20),
+]
+WAIT_SECONDS = 60.0
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, "the condition did not come true"
+        time.sleep(0.1)
+
+
+def in_force(fleet, endpoints):
+    return {fleet.ask(e, "/status")["configuration"]["version"] for e in endpoints}
+
+
+def edit(fleet, endpoint, assignment):
+    return run_command(["defaults", "edit", endpoint.settings_path, assignment])
+
+
+class TestSplit:
+    def test_both_sides_serve_and_become_one_fleet_again(self):
+        """Regions lose each other; only one of them reaches the store."""
+        regions = {"a": "north", "b": "north", "c": "south", "d": "south"}
+        with Fleet(SERVICES, domains=DOMAINS, regions=regions, cuttable=True) as fleet:
+            south = [e for e in fleet.endpoints if e.domain in "cd"]
+            north = [e for e in fleet.endpoints if e.domain in "ab"]
+            fleet.cut(south)
+            wait_until(lambda: all(fleet.count_alive(e) == 4 for e in fleet.endpoints))
+            assert edit(fleet, north[0], "retries=5") == 0
+            wait_until(lambda: in_force(fleet, north) == {1})
+
+            results = anyio.run(self.serve, fleet, "during-")
+            assert {r.outcome for r in results if r.kind == "check"} == {"completed"}
+            assert in_force(fleet, south) == {0}
+
+            fleet.cut([])
+            wait_until(lambda: all(fleet.count_alive(e) == 8 for e in fleet.endpoints))
+            wait_until(lambda: in_force(fleet, fleet.endpoints) == {1})
+            results += anyio.run(self.serve, fleet, "after-")
+            records = fleet.read_records()
+            assert not find_violations(results, records, {"orders", "stock"})
+
+    async def serve(self, fleet, name):
+        entrances = [e.entrance for e in fleet.endpoints]
+        async with Customers(lambda: entrances, name=name) as customers:
+            await customers.run(STREAMS, 3.0)
+        return customers.results
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -445,3 +445,84 @@
         run_virtual(run)
 
         assert [service for service, *_ in fleet.runs] == ["bookings", "deposits"]
+
+
+class TestLeaving:
+    def test_a_leaver_cut_off_from_gossip_gets_no_new_work(self):
+        """The first refusal tells a caller what gossip could not."""
+
+        async def behave(node, call, token):
+            return complete()
+
+        fleet = FakeFleet(["orders", "stock"], behave)
+        replies = []
+
+        async def run():
+            async with fleet:
+                entrance = fleet.of("orders")[0].entrance
+                leaver = fleet.of("stock")[0]
+                leaver.serving.leaving = True
+                submitted = leaver.serving.submit
+                calls = []
+
+                def submit(call, reply):
+                    calls.append(call)
+                    return submitted(call, reply)
+
+                leaver.serving.submit = submit
+                for _ in range(60):
+                    replies.append(await ask(entrance, "GET", "/stock/1"))
+                    await anyio.sleep(0.05)
+                return len(calls)
+
+        refused = run_virtual(run)
+
+        assert {reply.outcome for reply in replies} == {"completed"}
+        assert refused <= 2
+
+
+class TestLevels:
+    @pytest.mark.parametrize("carried", [True, False])
+    def test_what_a_deep_service_sheds_is_refused_before_any_work(self, carried):
+        async def behave(node, call, token):
+            if call.service == "stock":
+                await anyio.sleep(0.1)
+                return complete()
+            path = "/stock/reserve"
+            reply = await ask(node.onward, "GET", path, ragworthoist_request=token)
+            ok = reply.status == 200
+            return (
+                complete() if ok else Answer(Outcome.UNKNOWN, Reason.SERVER_ERROR, 503)
+            )
+
+        values = {
+            "defaults": {
+                "limit": "fixed",
+                "fixed_limit": 4,
+                "carry_levels": carried,
+                "retries": 0,
+            },
+            "exceptions": [
+                {
+                    "name": "wide",
+                    "reason": "orders wait for stock and need places",
+                    "author": "ana",
+                    "service": "orders",
+                    "set": {"fixed_limit": 500},
+                }
+            ],
+        }
+        fleet = FakeFleet(["orders", "stock"], behave, values, endpoints=1)
+
+        async def run():
+            async with fleet, anyio.create_task_group() as customers:
+                entrance = fleet.of("orders")[0].entrance
+                for _ in range(1000):
+                    customers.start_soon(ask, entrance, "GET", "/orders/1")
+                    await anyio.sleep(0.01)
+
+        run_virtual(run)
+
+        # Forty of the hundred requests that arrive each second can be served.
+        ran = sum(service == "orders" for service, *_ in fleet.runs)
+        assert (ran < 700) == carried
