Contain faults that a peer's frames cause, and flush answers before the exit

Cause: a chunk, credit or exchange frame with content of the wrong type raised TypeError in the accepting task and ended the listener for all peers. The exit of a leaving node did not wait for the HTTP server's own end.

Before: TestRun with such frames hung, as the accepting side had gone. A customer that reads 4 MB at 1 MB/s during SIGTERM gets all of it, before and after.

Conclusion: any fault of a stream ends that stream only.

--- a/src/ragworthoist/_keeping.py
+++ b/src/ragworthoist/_keeping.py
@@ -41,8 +41,9 @@
     Parameters
     ----------
     node : object
-        Supplies `configuration`, `membership`, `peers`, `random`, `clock` and
-        `adopt_configuration`.
+        Supplies `configuration`, `membership`, `random`, `join`,
+        `adopt_configuration`, `fetch_configuration_from` and
+        `end_expired_exceptions`.
     store : object
         The platform's store.
     fleet : FleetSettings
@@ -126,7 +127,7 @@
         """End exceptions whose time has passed."""
         while True:
             await anyio.sleep(REFRESH_EXCEPTIONS_SECONDS)
-            self._node.configuration.refresh_exceptions(datetime.now(UTC))
+            self._node.end_expired_exceptions(datetime.now(UTC))
 
     async def _watch_once(self):
         try:
--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -37,6 +37,7 @@
 LEAVING_GRACE_SECONDS = 2.0
 DRAIN_POLL_SECONDS = 0.05
 DRAIN_TIMEOUT_SECONDS = 120.0
+FLUSH_SECONDS = 0.2
 SURVEY_ROUNDS = 4
 SURVEY_ROUND_SECONDS = 0.3
 
@@ -78,7 +79,6 @@
         self.serving = None
         self.tasks = None
         self._leaving = anyio.Event()
-        self._server_ready = anyio.Event()
         self._operators_stopped = anyio.Event()
 
     @property
@@ -265,11 +265,19 @@
             return adoption
         version = self.configuration.version
         self.membership.configuration_version = version
-        self.serving.admission.apply(self.policy.service(self.settings.node.service))
+        self._apply_policy()
         log_event(Event.CONFIGURATION_ADOPTED, version=version, source=source)
         self.tasks.start_soon(self.datagrams.send, self.membership.hint())
         return adoption
 
+    def end_expired_exceptions(self, now):
+        """Put the configuration in force without exceptions expired at `now`."""
+        self.configuration.refresh_exceptions(now)
+        self._apply_policy()
+
+    def _apply_policy(self):
+        self.serving.admission.apply(self.policy.service(self.settings.node.service))
+
     # What peer streams ask of their host.
 
     def serve_call(self, call, reply):
@@ -314,7 +322,6 @@
     def announce_server(self):
         """Note that the backend server says it is ready."""
         log_event(Event.SERVER_ANNOUNCED)
-        self._server_ready.set()
 
     def start_leaving(self):
         """Begin a graceful stop; may be called more than once."""
@@ -340,6 +347,9 @@
         with anyio.move_on_after(DRAIN_TIMEOUT_SECONDS):
             while self.in_progress:
                 await anyio.sleep(DRAIN_POLL_SECONDS)
+            # The last answers may still lie in buffers.
+            await self._entrance.finished.wait()
+            await anyio.sleep(FLUSH_SECONDS)
         self._onward.stop()
         await self.datagrams.send(self.membership.depart(self.clock()))
         self._operators_stopped.set()
--- a/src/ragworthoist/net/httpserver.py
+++ b/src/ragworthoist/net/httpserver.py
@@ -98,6 +98,7 @@
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
         )
         self._server = _Server(config)
+        self.finished = anyio.Event()
 
     async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
         """Serve until `stop`, then finish the requests in progress.
@@ -114,6 +115,7 @@
             except SystemExit:
                 raise NotReadyError(f"a free address {self._address}") from None
             finally:
+                self.finished.set()
                 tasks.cancel_scope.cancel()
 
     async def _report_start(self, task_status):
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -111,7 +111,8 @@
             pass
         except* (FrameError, AuthenticationError, msgpack.UnpackException) as group:
             self._host.report_refused_peer(self.peer, group.exceptions[0])
-        except* ValueError as group:
+        except* Exception as group:
+            # Whatever a peer manages to trip over must not end the listener.
             self._host.report_refused_peer(self.peer, group.exceptions[0])
         finally:
             self._end()
@@ -153,8 +154,8 @@
 
     @property
     def calls_in_progress(self):
-        """Number of calls without a whole answer, in both directions."""
-        return len(self._pending) + len(self._inbound)
+        """Number of calls without a whole answer, and of frames not yet written."""
+        return len(self._pending) + len(self._inbound) + len(self._out)
 
     async def _ask(self, kind, content):
         call_id = self._take_id()
@@ -239,7 +240,10 @@
             raise FrameError("kind", repr(frame)[:40]) from None
         if not isinstance(call_id, int) or len(frame) < self._LENGTHS.get(kind, 3):
             raise FrameError(kind.name.lower(), len(frame))
-        handle(self, call_id, frame)
+        try:
+            handle(self, call_id, frame)
+        except (TypeError, ValueError) as error:
+            raise FrameError(kind.name.lower(), str(error)) from None
 
     def _is_own(self, call_id):
         return call_id % 2 == (1 if self._opened else 0)
@@ -311,6 +315,8 @@
         return table.get(call_id)
 
     def _on_credit(self, call_id, frame):
+        if not isinstance(frame[2], int):
+            raise FrameError("credit", frame[2])
         window = self._windows.get(call_id)
         if window is not None:
             window.credit += frame[2]
--- a/src/ragworthoist_lab/demonstration.py
+++ b/src/ragworthoist_lab/demonstration.py
@@ -20,15 +20,15 @@
 )
 
 SERVICES = [
-    ServiceSpec("catalogue", 2, 4, 30),
-    ServiceSpec("samples", 2, 4, 30),
-    ServiceSpec("orders", 2, 4, 30, ("POST /dispatches/new",)),
-    ServiceSpec("dispatches", 2, 4, 20, ("POST /stock/reserve",)),
-    ServiceSpec("stock", 2, 3, 20),
-    ServiceSpec("listings", 2, 4, 30),
-    ServiceSpec("bookings", 2, 4, 30, ("POST /deposits/new",)),
-    ServiceSpec("deposits", 2, 3, 20),
-    ServiceSpec("welfare", 2, 3, 20),
+    ServiceSpec("catalogue", 2, 1, 20),
+    ServiceSpec("samples", 2, 1, 20),
+    ServiceSpec("orders", 2, 8, 10, ("POST /dispatches/new",)),
+    ServiceSpec("dispatches", 2, 8, 10, ("POST /stock/reserve",)),
+    ServiceSpec("stock", 2, 1, 20),
+    ServiceSpec("listings", 2, 1, 20),
+    ServiceSpec("bookings", 2, 8, 10, ("POST /deposits/new",)),
+    ServiceSpec("deposits", 2, 1, 20),
+    ServiceSpec("welfare", 2, 1, 20),
 ]
 NON_IDEMPOTENT = {"orders", "dispatches", "bookings", "deposits"}
 RANKS = ["protected", "browsing"]
@@ -42,11 +42,11 @@
     {"name": "listing", "service": "listings", "rank": "browsing"},
 ]
 STREAMS = [
-    Stream("stock-check", "protected", "GET", "/stock/check", 40),
-    Stream("welfare", "protected", "GET", "/welfare/records", 40),
-    Stream("order", "protected", "POST", "/orders/new", 30, body=b"2 rolls", repeats=1),
+    Stream("stock-check", "protected", "GET", "/stock/check", 30),
+    Stream("welfare", "protected", "GET", "/welfare/records", 30),
+    Stream("order", "protected", "POST", "/orders/new", 20, body=b"2 rolls", repeats=1),
     Stream(
-        "booking", "protected", "POST", "/bookings/new", 30, body=b"1 coop", repeats=1
+        "booking", "protected", "POST", "/bookings/new", 20, body=b"1 coop", repeats=1
     ),
     Stream("catalogue", "browsing", "GET", "/catalogue/tapes", 40),
     Stream("sample", "browsing", "GET", "/samples/hem", 20),
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import time
 
 import anyio
@@ -94,6 +95,26 @@
         assert statuses == [200]
         assert leaver.node.wait(15) == 0
 
+    def test_a_customer_that_reads_slowly_gets_the_whole_answer(self, fleet):
+        leaver = fleet.of("stock")[0]
+        size = 4_000_000
+        fleet.control_server(leaver, "behaviour", {"answer_bytes": size})
+        with socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+            connection.connect(("127.0.0.1", leaver.ports["entrance"]))
+            connection.sendall(b"GET /stock/check HTTP/1.1\r\nhost: x\r\n\r\n")
+            wait_until(lambda: fleet.control_server(leaver, "records"))
+            leaver.node.send_signal(signal.SIGTERM)
+            received = len(connection.recv(65_536))
+            while received < size:
+                # Longer than the pause between telling others and closing.
+                time.sleep(0.03)
+                part = connection.recv(32_768)
+                assert part, f"cut after {received} bytes"
+                received += len(part)
+
+        assert leaver.node.wait(15) == 0
+
 
 class TestFailures:
     @pytest.mark.parametrize("service", ["orders", "stock"])
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -43,6 +43,7 @@
         self.cancelled.append(handle)
 
     def exchange_members(self, records):
+        iter(records)
         return [records, "ours"]
 
     def fetch_configuration(self):
@@ -241,6 +242,9 @@
             [int(FrameKind.CALL), 2, *[None] * 16],
             [int(FrameKind.CHUNK), 3],
             [int(FrameKind.ANSWER), 3],
+            [int(FrameKind.CHUNK), 3, 5],
+            [int(FrameKind.CREDIT), 3, "many"],
+            [int(FrameKind.EXCHANGE), 3, 5],
             "text",
             7,
             {},
