Give every failure a type of its own

Cause: two errors of HTTP stood outside the tree of errors, and rules across fields of the configuration raised ValueError with a text.

Conclusion: all errors of the package stand in exceptions.py; validators raise pydantic's typed error with its facts.

--- a/src/ragworthoist/_document.py
+++ b/src/ragworthoist/_document.py
@@ -9,6 +9,7 @@
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic_core import PydanticCustomError
 
 from ragworthoist.exceptions import DocumentError
 
@@ -20,6 +21,15 @@
 Milliseconds = Annotated[int, Field(ge=1, le=600_000)]
 
 
+def _make_fault(field, found, allowed):
+    """Return the error for a value that breaks a rule across fields."""
+    return PydanticCustomError(
+        "rule",
+        "{field} is {found}, allowed: {allowed}",
+        {"field": field, "found": str(found), "allowed": str(allowed)},
+    )
+
+
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -71,17 +81,15 @@
     def _check_references(self):
         ranks = set(self.ranks)
         if len(ranks) != len(self.ranks):
-            raise ValueError("ranks must differ from one another")
+            raise _make_fault("names of ranks", self.ranks, "different names")
         if self.rank is not None and self.rank not in ranks:
-            raise ValueError(f"rank {self.rank!r} is not one of {self.ranks}")
+            raise _make_fault("rank", self.rank, self.ranks)
         names = [kind.name for kind in self.kinds]
         if len(set(names)) != len(names):
-            raise ValueError("names of kinds must differ from one another")
+            raise _make_fault("names of kinds", names, "different names")
         for kind in self.kinds:
             if kind.rank not in ranks:
-                raise ValueError(
-                    f"kind {kind.name!r} has rank {kind.rank!r}, allowed: {self.ranks}"
-                )
+                raise _make_fault(f"rank of {kind.name}", kind.rank, self.ranks)
         return self
 
 
@@ -117,9 +125,15 @@
     @model_validator(mode="after")
     def _check_target(self):
         if self.kind is None and self.service is None:
-            raise ValueError("an exception names a kind, a service, or both")
+            raise _make_fault(
+                "target", None, "an exception names a kind, a service, or both"
+            )
         if self.expires is not None and self.expires.tzinfo is None:
-            raise ValueError("expires needs a time zone, such as 2026-01-31T12:00:00Z")
+            raise _make_fault(
+                "expires",
+                self.expires,
+                "a time with zone, such as 2026-01-31T12:00:00Z",
+            )
         return self
 
 
@@ -149,7 +163,7 @@
     def _check_exceptions(self):
         names = [rule.name for rule in self.exceptions]
         if len(set(names)) != len(names):
-            raise ValueError("names of exceptions must differ from one another")
+            raise _make_fault("names of exceptions", names, "different names")
         for rule in self.exceptions:
             self._check_overrides(rule)
         return self
@@ -160,9 +174,8 @@
         for field, value in rule.set.items():
             if field == "rank":
                 if value not in self.defaults.ranks:
-                    raise ValueError(
-                        f"exception {rule.name!r} sets rank {value!r}, "
-                        f"allowed: {self.defaults.ranks}"
+                    raise _make_fault(
+                        f"rank in {rule.name}", value, self.defaults.ranks
                     )
                 continue
             model, base = Defaults, self.defaults
--- a/src/ragworthoist/exceptions.py
+++ b/src/ragworthoist/exceptions.py
@@ -106,6 +106,25 @@
         super().__init__(f"peer {peer} does not hold the fleet key")
 
 
+class RequestError(RagworthoistError):
+    """A request over HTTP cannot be taken in."""
+
+
+class BodyTooLargeError(RequestError):
+    """The body of a request is longer than `limit` bytes."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        super().__init__(f"body is longer than {limit} bytes")
+
+
+class CallerGoneError(RequestError):
+    """The caller closed its connection before its request was complete."""
+
+    def __init__(self):
+        super().__init__("the caller left before its request was complete")
+
+
 class TicketError(RagworthoistError):
     """A one-time ticket cannot be used."""
 
--- a/src/ragworthoist/net/entrance.py
+++ b/src/ragworthoist/net/entrance.py
@@ -11,6 +11,7 @@
 from ragworthoist._serving import fingerprint_call
 from ragworthoist.core.entities import Answer, Call, Outcome, Reason, draw_from, refuse
 from ragworthoist.core.retries import Allotment
+from ragworthoist.exceptions import BodyTooLargeError, CallerGoneError
 from ragworthoist.net.frames import MAX_BODY_BYTES
 from ragworthoist.net.web import (
     DEADLINE,
@@ -20,8 +21,6 @@
     REQUEST,
     STEP,
     TICKET,
-    BodyTooLargeError,
-    CallerGoneError,
     find_header,
     forward_headers,
     read_body,
--- a/src/ragworthoist/net/web.py
+++ b/src/ragworthoist/net/web.py
@@ -1,5 +1,7 @@
 """Small helpers for ASGI applications and the headers of ragworthoist."""
 
+from ragworthoist.exceptions import BodyTooLargeError, CallerGoneError
+
 MAX_HEADER_BYTES = 32_768
 
 REQUEST = b"ragworthoist-request"
@@ -30,14 +32,6 @@
 )
 
 
-class BodyTooLargeError(Exception):
-    """A body is longer than the caller of `read_body` allows."""
-
-
-class CallerGoneError(Exception):
-    """The caller closed its connection before its request was complete."""
-
-
 async def read_body(receive, limit):
     """Return the whole body of a request.
 
@@ -54,7 +48,7 @@
     body = message.get("body", b"")
     if not message.get("more_body"):
         if len(body) > limit:
-            raise BodyTooLargeError
+            raise BodyTooLargeError(limit)
         return body
     parts = bytearray(body)
     while message.get("more_body"):
@@ -63,7 +57,7 @@
             raise CallerGoneError
         parts += message.get("body", b"")
         if len(parts) > limit:
-            raise BodyTooLargeError
+            raise BodyTooLargeError(limit)
     return bytes(parts)
 
 
