Ask peers at the start even when the store answers

Cause: a node that started while the store had gone back, or had lost the document, took the older one and served by it until gossip brought the newer.

Ruled out: adoption itself, which takes only higher versions once one is in force.

Before: TestLoadFirst failed for a store at 2 with peers at 3 and 5 (2 in force) and for an empty store with a peer at 7 (0 in force). After: 5 and 7.

--- a/src/ragworthoist/_keeping.py
+++ b/src/ragworthoist/_keeping.py
@@ -84,7 +84,7 @@
                 await self._node.join(await self.find_peers())
 
     async def load_first(self):
-        """Get a configuration to start with: from the store, else from peers.
+        """Get a configuration to start with: the newest of store and peers.
 
         Raises
         ------
@@ -93,7 +93,9 @@
         """
         with anyio.move_on_after(START_TIMEOUT_SECONDS):
             while True:
-                if await self.read_store() or await self._ask_peers():
+                await self.read_store()
+                # Peers are asked as well: the store may have lost changes.
+                if await self._ask_peers():
                     return
                 await anyio.sleep(RETRY_SECONDS)
         raise NotReadyError("configuration from the store or from peers")
--- /dev/null
+++ b/tests/test_keeping.py
@@ -0,0 +1,77 @@
+import random
+from types import SimpleNamespace
+
+import pytest
+from fakes import run_virtual
+
+from ragworthoist import Document
+from ragworthoist._keeping import Keeper
+from ragworthoist.core.configuration import ConfigurationTable
+from ragworthoist.core.membership import Member, Membership
+from ragworthoist.exceptions import NotReadyError, StoreUnavailableError
+from ragworthoist.store import StoredValue
+
+
+def make_raw(version):
+    return Document(version=version).model_dump_json().encode()
+
+
+class FakeStore:
+    """Holds one document, or is down when it has none to give."""
+
+    def __init__(self, version):
+        self.version = version
+
+    async def get(self, key):
+        if self.version == "down":
+            raise StoreUnavailableError("range", "down")
+        if self.version is None:
+            return None
+        return StoredValue(key, make_raw(self.version), 1)
+
+
+class FakeNode:
+    """A node that starts, with peers that have documents of given versions."""
+
+    def __init__(self, peer_versions):
+        self.random = random.Random(1)
+        self.configuration = ConfigurationTable()
+        own = Member(b"00000000", "stock", "main", "a", "10.0.0.1", 1)
+        self.membership = Membership(own, self.random, 0.0)
+        self.versions = {}
+        for number, version in enumerate(peer_versions):
+            name = f"peer{number:04}".encode()
+            peer = Member(name, "stock", "main", "a", "10.0.0.2", number)
+            self.membership.merge([peer], 0.0)
+            self.versions[name] = version
+
+    def adopt_configuration(self, raw, _source):
+        return self.configuration.offer(raw)
+
+    async def fetch_configuration_from(self, member):
+        self.adopt_configuration(make_raw(self.versions[member.instance]), "peer")
+
+
+class TestLoadFirst:
+    @pytest.mark.parametrize(
+        ("stored", "peers", "expected"),
+        [
+            (4, [], 4),
+            (4, [4, 3], 4),
+            (None, [], 0),
+            ("down", [3, 5, 4], 5),
+            (2, [3, 5], 5),
+            (None, [7], 7),
+        ],
+    )
+    def test_the_newest_of_store_and_peers_is_in_force(self, stored, peers, expected):
+        node = FakeNode(peers)
+        fleet = SimpleNamespace(name="lab", seeds=[])
+        run_virtual(Keeper(node, FakeStore(stored), fleet).load_first)
+
+        assert node.configuration.version == expected
+
+    def test_without_store_and_peers_a_node_does_not_serve(self):
+        fleet = SimpleNamespace(name="lab", seeds=[])
+        with pytest.raises(NotReadyError):
+            run_virtual(Keeper(FakeNode([]), FakeStore("down"), fleet).load_first)
