Make the tests of lengths and of the drain fail without them

Cause: with the comparison of lengths or the drain taken out, the tests passed: no frame with a false end was sent, and the long answer ended within the pause of 2 s that a leaving node makes anyway.

Before: both broken versions passed.

--- a/src/ragworthoist_lab/load.py
+++ b/src/ragworthoist_lab/load.py
@@ -11,7 +11,7 @@
 from ragworthoist.net.web import OUTCOME, REASON, TICKET
 from ragworthoist_lab.server import ITEM
 
-CUSTOMER_TIMEOUT_SECONDS = 5.0
+CUSTOMER_TIMEOUT_SECONDS = 15.0
 MAX_TICKETS = 3
 
 
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -74,7 +74,11 @@
 
     def test_a_long_answer_in_progress_is_finished(self, fleet):
         leaver = fleet.of("stock")[0]
-        values = {"service_seconds": 0.6, "answer_bytes": 4_000_000}
+        path = leaver.settings_path
+        assert run_command(["defaults", "edit", path, "deadline_ms=30000"]) == 0
+        wait_until(lambda: fleet.ask(leaver, "/status")["configuration"]["version"])
+        # Longer than the pause between telling others and closing.
+        values = {"service_seconds": 5.0, "answer_bytes": 4_000_000}
         fleet.control_server(leaver, "behaviour", values)
         stream = Stream("check", "urgent", "GET", "/stock/check", 0)
         statuses = []
@@ -107,7 +111,6 @@
             leaver.node.send_signal(signal.SIGTERM)
             received = len(connection.recv(65_536))
             while received < size:
-                # Longer than the pause between telling others and closing.
                 time.sleep(0.03)
                 part = connection.recv(32_768)
                 assert part, f"cut after {received} bytes"
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -262,6 +262,21 @@
 
         assert acceptor.refused == ["FrameError"]
 
+    @pytest.mark.parametrize("said", [100, 40_000])
+    def test_a_body_shorter_than_its_head_says_is_never_served(self, said):
+        async def scenario(stream, acceptor):
+            stream._send(pack_call(101, make_call("/0", bytes(40_000)), 5.0))
+            stream._send([int(FrameKind.CHUNK), 101, bytes(100)])
+            stream._send([int(FrameKind.END), 101, said])
+            while not acceptor.lost:
+                await anyio.sleep(0.01)
+
+        acceptor = FakeHost(b"accept00")
+        anyio.run(lambda: run_pair(scenario, acceptor=acceptor))
+
+        assert acceptor.served == []
+        assert acceptor.refused == ["FrameError"]
+
     def test_an_id_seen_again_ends_the_stream(self):
         async def scenario(stream, acceptor):
             frame = pack_call(101, make_call("/0"), 5.0)
