--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -11,6 +11,7 @@
 from ragworthoist.net.streams import PeerStream
 
 KEY = b"k" * 32
+HANG_SECONDS = 120.0
 
 
 class FakeHost:
@@ -123,7 +124,9 @@
         stream = PeerStream(transport, opener, opened=True)
         try:
             await tasks.start(stream.run)
-            result = await scenario(stream, acceptor)
+            # A scenario that waits for ever is a failure, not a hang.
+            with anyio.fail_after(HANG_SECONDS):
+                result = await scenario(stream, acceptor)
         except RuntimeError:
             result = None
         stream.close()
