Close streams only to instances that are known to be gone

Streams were closed for every instance not among the members, also for one that was just joining, and stayed in the table while they ended, so a call could begin on them.

After: a stream is taken out of the table before it ends, and only for instances that are dead or have left.

--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -203,8 +203,8 @@
                 state=member.state.name.lower(),
             )
         if membership.changed:
-            present = {m.instance for m in membership.peers()}
-            self.peers.close_idle(present)
+            members = membership.members.values()
+            self.peers.close_idle({m.instance for m in members if not m.is_present})
         membership.changed.clear()
         if membership.paused_seconds:
             log_event(Event.NODE_WAS_PAUSED, seconds=membership.paused_seconds)
--- a/src/ragworthoist/net/peers.py
+++ b/src/ragworthoist/net/peers.py
@@ -83,10 +83,12 @@
         if self._streams.get(stream.peer) is stream:
             del self._streams[stream.peer]
 
-    def close_idle(self, present):
-        """Close streams to instances that are gone and have nothing in progress."""
+    def close_idle(self, gone):
+        """Close streams to instances in `gone` that have nothing in progress."""
         for instance, stream in list(self._streams.items()):
-            if instance not in present and not stream.calls_in_progress:
+            if instance in gone and not stream.calls_in_progress:
+                # No call may begin on a stream that is about to end.
+                self.forget(stream)
                 stream.close()
         now = self._clock()
         self._failed = {i: t for i, t in self._failed.items() if t > now}
