--- /dev/null
+++ b/deploy/launch.py
@@ -0,0 +1,5 @@
+"""Starts the program from the folder that `build.sh` makes."""
+
+from ragworthoist.__main__ import main
+
+main()
--- a/src/ragworthoist/_commands.py
+++ b/src/ragworthoist/_commands.py
@@ -18,6 +18,7 @@
 import defopt
 
 from ragworthoist._document import validate_document
+from ragworthoist._registry import Registry
 from ragworthoist._settings import load_settings
 from ragworthoist.exceptions import (
     ConflictError,
@@ -39,6 +40,8 @@
 GC_MIDDLE_ROUNDS = 20
 GC_OLD_ROUNDS = 20
 
+edges = Registry("edge")
+
 _EXIT_CODES = (
     (InputError, EXIT_INPUT),
     (ConflictError, EXIT_CONFLICT),
@@ -76,19 +79,36 @@
     """
     import eliot
 
-    from ragworthoist._node import Node
-
     loaded = load_settings(settings)
     if loaded.log.path:
         eliot.to_file(open(loaded.log.path, "a"))  # noqa: SIM115
+    elif loaded.edge == "attempts":
+        from ragworthoist._logs import LogWriter
+
+        eliot.add_destinations(LogWriter(sys.stdout.fileno(), loaded.log))
     else:
         eliot.to_file(sys.stderr)
+    make_node = edges.get(loaded.edge)
     options = {"use_uvloop": True}
-    anyio.run(_run_node, Node, loaded, backend="asyncio", backend_options=options)
+    anyio.run(_run_node, make_node, loaded, settings, backend_options=options)
+
+
+@edges.register("tickets")
+def _make_ticket_node(settings, _path):
+    from ragworthoist._node import Node
+
+    return Node(settings)
+
 
+@edges.register("attempts")
+def _make_attempt_node(settings, path):
+    from ragworthoist.edge.node import EdgeNode
 
-async def _run_node(node_type, settings):
-    node = node_type(settings)
+    return EdgeNode(settings, path)
+
+
+async def _run_node(make_node, settings, path):
+    node = make_node(settings, path)
     _calm_garbage_collector()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_handle_signals, node)
@@ -104,13 +124,13 @@
 
 
 async def _handle_signals(node):
-    from ragworthoist.net.operators import dump_state
-
-    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
     with anyio.open_signal_receiver(*signals) as received:
         async for number in received:
             if number == signal.SIGUSR1:
-                print(json.dumps(dump_state(node)), file=sys.stderr, flush=True)
+                print(json.dumps(node.dump_state()), file=sys.stderr, flush=True)
+            elif number == signal.SIGHUP:
+                node.reload()
             else:
                 node.start_leaving()
 
--- /dev/null
+++ b/src/ragworthoist/_fleet.py
@@ -0,0 +1,208 @@
+"""What a node shares with the other nodes: members, streams and configuration.
+
+Both edges build on it: `_node.Node` serves customers by tickets, `edge.node.EdgeNode`
+serves clients that bring attempts with ids of their own.
+"""
+
+import os
+import random
+from collections import Counter
+
+import anyio
+from msgpack import UnpackException
+
+from ragworthoist.core.configuration import Adoption
+from ragworthoist.core.membership import Member, Membership
+from ragworthoist.events import Event, log_event
+from ragworthoist.exceptions import DocumentError
+from ragworthoist.net.datagrams import Datagrams
+from ragworthoist.net.peers import PeerTable
+
+INSTANCE_BYTES = 8
+GOSSIP_TICK_SECONDS = 0.1
+SURVEY_ROUNDS = 4
+SURVEY_ROUND_SECONDS = 0.3
+
+
+class FleetNode:
+    """One member of the fleet.
+
+    Parameters
+    ----------
+    place : object
+        `service`, `region`, `failure_domain` and `peers` (an `Address`).
+    key : bytes
+        The fleet's key.
+    clock : callable
+        Time in seconds that never runs backwards.
+    configuration : ConfigurationTable
+        Where the configuration in force is kept.
+    accepting : bool
+        Whether the server here takes calls from the start.
+    """
+
+    def __init__(self, place, key, clock, configuration, accepting=True):
+        self.instance = os.urandom(INSTANCE_BYTES)
+        self.key = key
+        self.clock = clock
+        self.random = random.Random(self.instance)
+        self.started = clock()
+        host, port = place.peers.pair
+        member = Member(
+            self.instance,
+            place.service,
+            place.region,
+            place.failure_domain,
+            host,
+            port,
+            accepting=accepting,
+        )
+        self.configuration = configuration
+        self.membership = Membership(member, self.random, clock())
+        self.peers = PeerTable(self, clock)
+        self.datagrams = Datagrams(place.peers.pair, key)
+        self.tasks = None
+
+    @property
+    def policy(self):
+        """The configuration in force, None before the first."""
+        return self.configuration.policy
+
+    async def join(self, addresses):
+        """Exchange members with the nodes at `addresses` that are not known."""
+        known = {member.address for member in self.membership.peers()}
+        for host, port in addresses:
+            if (host, port) not in known:
+                await self._exchange_with(Member(b"", "", "", "", host, port))
+
+    async def _gossip(self):
+        while True:
+            await anyio.sleep(GOSSIP_TICK_SECONDS)
+            await self.datagrams.send(self.membership.tick(self.clock()))
+            self._follow_up()
+
+    async def _on_message(self, message, address):
+        replies = self.membership.receive(message, address, self.clock())
+        await self.datagrams.send(replies)
+        self._follow_up()
+
+    def _follow_up(self):
+        """Start what the membership has found worth asking a peer for."""
+        membership = self.membership
+        self._log_changes()
+        sync_with = membership.members.get(membership.sync_wanted)
+        membership.sync_wanted = None
+        if sync_with is not None and sync_with.is_present:
+            self.tasks.start_soon(self._exchange_with, sync_with)
+        newer = membership.members.get(membership.newer_configuration)
+        membership.newer_configuration = None
+        if newer is not None and newer.is_present:
+            self.tasks.start_soon(self.fetch_configuration_from, newer)
+
+    def _log_changes(self):
+        membership = self.membership
+        for member in membership.changed:
+            log_event(
+                Event.MEMBER_CHANGED,
+                member=member.instance.hex(),
+                service=member.service,
+                state=member.state.name.lower(),
+            )
+        if membership.changed:
+            members = membership.members.values()
+            self.peers.close_idle({m.instance for m in members if not m.is_present})
+        membership.changed.clear()
+        if membership.paused_seconds:
+            log_event(Event.NODE_WAS_PAUSED, seconds=membership.paused_seconds)
+            membership.paused_seconds = 0.0
+
+    async def _exchange_with(self, member):
+        stream = await self.peers.open_to(member)
+        if stream is None:
+            return
+        records = await stream.exchange(self.membership.snapshot())
+        if records is not None:
+            self._merge_records(records)
+
+    async def fetch_configuration_from(self, member):
+        """Adopt the configuration of `member` if it is newer."""
+        stream = await self.peers.stream_to(member)
+        raw = await stream.fetch() if stream is not None else None
+        if not raw:
+            return
+        try:
+            self.adopt_configuration(raw, member.instance.hex())
+        except DocumentError as error:
+            log_event(
+                Event.CONFIGURATION_REFUSED,
+                source=member.instance.hex(),
+                error=str(error),
+            )
+
+    async def survey(self):
+        """Ask every member which configuration it has in force.
+
+        Returns
+        -------
+        dict
+            The number of nodes by version, and the addresses that did not answer.
+        """
+        membership = self.membership
+        membership.versions.clear()
+        for _ in range(SURVEY_ROUNDS):
+            missing = [m for m in membership.peers() if self._version_of(m) is None]
+            if not missing:
+                break
+            await self.datagrams.send(membership.ask(missing))
+            await anyio.sleep(SURVEY_ROUND_SECONDS)
+        versions = Counter(self._version_of(m) for m in membership.peers())
+        versions[self.configuration.version] += 1
+        silent = [m.address for m in membership.peers() if self._version_of(m) is None]
+        versions.pop(None, None)
+        return {"versions": dict(versions), "silent": silent}
+
+    def _version_of(self, member):
+        return self.membership.versions.get(member.instance)
+
+    def adopt_configuration(self, raw, source):
+        """Put the document in `raw` in force if it is newer; return the `Adoption`."""
+        adoption = self.configuration.offer(raw)
+        if adoption is not Adoption.ADOPTED:
+            return adoption
+        version = self.configuration.version
+        self.membership.configuration_version = version
+        self.apply_policy()
+        log_event(Event.CONFIGURATION_ADOPTED, version=version, source=source)
+        self.tasks.start_soon(self.datagrams.send, self.membership.hint())
+        return adoption
+
+    def apply_policy(self):
+        """Act on a configuration that has just been put in force."""
+
+    # What peer streams ask of their host.
+
+    def exchange_members(self, records):
+        """Merge a peer's member records and return ours."""
+        self._merge_records(records)
+        return self.membership.snapshot()
+
+    def fetch_configuration(self):
+        """Return the raw document in force, empty before the first."""
+        return self.configuration.raw
+
+    def report_lost_peer(self, stream):
+        """Drop a stream that has ended."""
+        self.peers.forget(stream)
+        log_event(Event.PEER_LOST, peer=stream.peer.hex())
+
+    def report_refused_peer(self, peer, error):
+        """Log a peer that broke the protocol or does not hold the fleet's key."""
+        log_event(Event.PEER_REFUSED, peer=peer.hex(), error=str(error))
+
+    def _merge_records(self, records):
+        try:
+            members = [Member.unpack(record) for record in records]
+        except (TypeError, ValueError, IndexError, UnpackException) as error:
+            log_event(Event.DATAGRAM_REFUSED, count=1, error=str(error))
+            return
+        self.membership.merge(members, self.clock())
--- /dev/null
+++ b/src/ragworthoist/_logs.py
@@ -0,0 +1,100 @@
+"""Structured logs on a stream that may be slow, within a bounded volume.
+
+Lines are written without waiting: what the reader does not take in time, or what
+passes the rates, is counted and reported once a second. Failures have a part of the
+rates to themselves, so that they are kept before successes.
+"""
+
+import json
+import os
+import time
+
+# Part of the rates that only events above `ROUTINE` may use.
+RESERVED_SHARE = 0.5
+PERIOD_SECONDS = 1.0
+_ROUTINE_TYPES = frozenset({"ragworthoist:request_served", "ragworthoist:call_handed"})
+
+
+class LogWriter:
+    """An eliot destination on a file descriptor.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go; it is made non-blocking.
+    settings : LogSettings
+        The rates.
+    """
+
+    def __init__(self, descriptor, settings, clock=time.monotonic):
+        self._descriptor = descriptor
+        self._lines_per_second = settings.lines_per_second
+        self._bytes_per_second = settings.bytes_per_second
+        self._clock = clock
+        self._period_end = clock() + PERIOD_SECONDS
+        self._lines = self._bytes = 0
+        self._rest = b""
+        self.left_out = 0
+        self.left_out_total = 0
+        os.set_blocking(descriptor, False)
+
+    def __call__(self, message):
+        """Write one eliot message, or count it as left out."""
+        now = self._clock()
+        if now >= self._period_end:
+            self._start_period(now)
+        share = 1.0
+        if message.get("message_type") in _ROUTINE_TYPES:
+            share = 1.0 - RESERVED_SHARE
+        if (
+            self._lines >= share * self._lines_per_second
+            or self._bytes >= share * self._bytes_per_second
+        ):
+            self._leave_out()
+            return
+        self._write(message)
+
+    def _start_period(self, now):
+        self._period_end = now + PERIOD_SECONDS
+        self._lines = self._bytes = 0
+        if self.left_out:
+            left_out, self.left_out = self.left_out, 0
+            self._write(
+                {
+                    "message_type": "ragworthoist:log_left_out",
+                    "number": 901,
+                    "timestamp": time.time(),
+                    "count": left_out,
+                }
+            )
+
+    def _write(self, message):
+        for key in ("task_uuid", "task_level"):
+            message.pop(key, None)
+        line = json.dumps(message, default=str).encode() + b"\n"
+        self._lines += 1
+        self._bytes += len(line)
+        if self._rest:
+            # A line of which a part was taken has to be finished first.
+            self._rest = self._rest[self._put(self._rest) :]
+        if self._rest:
+            self._leave_out()
+            return
+        written = self._put(line)
+        if written == 0:
+            self._leave_out()
+        else:
+            self._rest = line[written:]
+
+    def _put(self, data):
+        try:
+            return os.write(self._descriptor, data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # Nobody reads the logs any more; requests go on.
+            return 0
+
+    def _leave_out(self):
+        self.left_out += 1
+        self.left_out_total += 1
--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -1,48 +1,37 @@
 """One node: the process of ragworthoist beside one backend server instance."""
 
 import hashlib
-import os
-import random
 import time
-from collections import Counter
 
 import anyio
-from msgpack import UnpackException
 
 from ragworthoist._dispatching import Dispatcher
 from ragworthoist._document import Document
+from ragworthoist._fleet import FleetNode
 from ragworthoist._keeping import Keeper
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist._serving import Serving
 from ragworthoist._tasks import TaskPool
-from ragworthoist.core.configuration import Adoption, ConfigurationTable
+from ragworthoist.core.configuration import ConfigurationTable
 from ragworthoist.core.entities import Reason, refuse
-from ragworthoist.core.membership import Member, Membership
 from ragworthoist.core.policy import Policy
 from ragworthoist.core.routing import Router
 from ragworthoist.events import Event, log_event
-from ragworthoist.exceptions import DocumentError
 from ragworthoist.net.backend import BackendClient
-from ragworthoist.net.datagrams import Datagrams
 from ragworthoist.net.entrance import Entrance, OnwardExit
 from ragworthoist.net.httpserver import HttpServer, serve_operators
-from ragworthoist.net.operators import Operators
-from ragworthoist.net.peers import PeerTable
+from ragworthoist.net.operators import Operators, dump_state
 from ragworthoist.store import open_store
 
-INSTANCE_BYTES = 8
 TICK_SECONDS = 0.02
-GOSSIP_TICK_SECONDS = 0.1
 SERVER_PROBE_SECONDS = 0.2
 LEAVING_GRACE_SECONDS = 2.0
 DRAIN_POLL_SECONDS = 0.05
 DRAIN_TIMEOUT_SECONDS = 120.0
 FLUSH_SECONDS = 0.2
-SURVEY_ROUNDS = 4
-SURVEY_ROUND_SECONDS = 0.3
 
 
-class Node:
+class Node(FleetNode):
     """Everything that one process holds, and the tasks that run it.
 
     Parameters
@@ -52,40 +41,18 @@
     """
 
     def __init__(self, settings):
+        key = hashlib.blake2b(settings.fleet.key.encode(), digest_size=32).digest()
+        super().__init__(settings.node, key, time.monotonic, ConfigurationTable())
         self.settings = settings
-        self.instance = os.urandom(INSTANCE_BYTES)
-        self.key = hashlib.blake2b(settings.fleet.key.encode(), digest_size=32).digest()
-        self.random = random.Random(self.instance)
-        self.clock = time.monotonic
         self._wall_offset = time.time() - time.monotonic()
-        self.started = self.clock()
-        host, port = settings.node.peers.pair
-        member = Member(
-            self.instance,
-            settings.node.service,
-            settings.node.region,
-            settings.node.failure_domain,
-            host,
-            port,
-        )
-        self.configuration = ConfigurationTable()
-        self.membership = Membership(member, self.random, self.clock())
-        self.router = Router(member, self.random)
+        self.router = Router(self.membership.node, self.random)
         self.outcomes = OutcomeTable()
         self.open_requests = 0
         self.dispatcher = Dispatcher(self)
-        self.peers = PeerTable(self, self.clock)
-        self.datagrams = Datagrams(settings.node.peers.pair, self.key)
         self.serving = None
-        self.tasks = None
         self._leaving = anyio.Event()
         self._operators_stopped = anyio.Event()
 
-    @property
-    def policy(self):
-        """The configuration in force, None before the first."""
-        return self.configuration.policy
-
     def wall_clock(self):
         """Return time comparable between nodes that never runs backwards here."""
         return self._wall_offset + self.clock()
@@ -157,125 +124,18 @@
             await stream.aclose()
             return
 
-    async def join(self, addresses):
-        """Exchange members with the nodes at `addresses` that are not known."""
-        known = {member.address for member in self.membership.peers()}
-        for host, port in addresses:
-            if (host, port) not in known:
-                await self._exchange_with(Member(b"", "", "", "", host, port))
-
     async def _tick(self):
         while True:
             await anyio.sleep(TICK_SECONDS)
             self.serving.tick(self.clock())
 
-    async def _gossip(self):
-        while True:
-            await anyio.sleep(GOSSIP_TICK_SECONDS)
-            await self.datagrams.send(self.membership.tick(self.clock()))
-            self._follow_up()
-
-    async def _on_message(self, message, address):
-        replies = self.membership.receive(message, address, self.clock())
-        await self.datagrams.send(replies)
-        self._follow_up()
-
-    def _follow_up(self):
-        """Start what the membership has found worth asking a peer for."""
-        membership = self.membership
-        self._log_changes()
-        sync_with = membership.members.get(membership.sync_wanted)
-        membership.sync_wanted = None
-        if sync_with is not None and sync_with.is_present:
-            self.tasks.start_soon(self._exchange_with, sync_with)
-        newer = membership.members.get(membership.newer_configuration)
-        membership.newer_configuration = None
-        if newer is not None and newer.is_present:
-            self.tasks.start_soon(self.fetch_configuration_from, newer)
-
-    def _log_changes(self):
-        membership = self.membership
-        for member in membership.changed:
-            log_event(
-                Event.MEMBER_CHANGED,
-                member=member.instance.hex(),
-                service=member.service,
-                state=member.state.name.lower(),
-            )
-        if membership.changed:
-            members = membership.members.values()
-            self.peers.close_idle({m.instance for m in members if not m.is_present})
-        membership.changed.clear()
-        if membership.paused_seconds:
-            log_event(Event.NODE_WAS_PAUSED, seconds=membership.paused_seconds)
-            membership.paused_seconds = 0.0
-
-    async def _exchange_with(self, member):
-        stream = await self.peers.open_to(member)
-        if stream is None:
-            return
-        records = await stream.exchange(self.membership.snapshot())
-        if records is not None:
-            self._merge_records(records)
-
-    async def fetch_configuration_from(self, member):
-        """Adopt the configuration of `member` if it is newer."""
-        stream = await self.peers.stream_to(member)
-        raw = await stream.fetch() if stream is not None else None
-        if not raw:
-            return
-        try:
-            self.adopt_configuration(raw, member.instance.hex())
-        except DocumentError as error:
-            log_event(
-                Event.CONFIGURATION_REFUSED,
-                source=member.instance.hex(),
-                error=str(error),
-            )
-
-    async def survey(self):
-        """Ask every member which configuration it has in force.
-
-        Returns
-        -------
-        dict
-            The number of nodes by version, and the addresses that did not answer.
-        """
-        membership = self.membership
-        membership.versions.clear()
-        for _ in range(SURVEY_ROUNDS):
-            missing = [m for m in membership.peers() if self._version_of(m) is None]
-            if not missing:
-                break
-            await self.datagrams.send(membership.ask(missing))
-            await anyio.sleep(SURVEY_ROUND_SECONDS)
-        versions = Counter(self._version_of(m) for m in membership.peers())
-        versions[self.configuration.version] += 1
-        silent = [m.address for m in membership.peers() if self._version_of(m) is None]
-        versions.pop(None, None)
-        return {"versions": dict(versions), "silent": silent}
-
-    def _version_of(self, member):
-        return self.membership.versions.get(member.instance)
-
-    def adopt_configuration(self, raw, source):
-        """Put the document in `raw` in force if it is newer; return the `Adoption`."""
-        adoption = self.configuration.offer(raw)
-        if adoption is not Adoption.ADOPTED:
-            return adoption
-        version = self.configuration.version
-        self.membership.configuration_version = version
-        self._apply_policy()
-        log_event(Event.CONFIGURATION_ADOPTED, version=version, source=source)
-        self.tasks.start_soon(self.datagrams.send, self.membership.hint())
-        return adoption
-
     def end_expired_exceptions(self, now):
         """Put the configuration in force without exceptions expired at `now`."""
         self.configuration.refresh_exceptions(now)
-        self._apply_policy()
+        self.apply_policy()
 
-    def _apply_policy(self):
+    def apply_policy(self):
+        """Put the admission policy of the configuration in force."""
         self.serving.admission.apply(self.policy.service(self.settings.node.service))
 
     # What peer streams ask of their host.
@@ -291,38 +151,19 @@
         """End a peer's call."""
         self.serving.cancel(handle)
 
-    def exchange_members(self, records):
-        """Merge a peer's member records and return ours."""
-        self._merge_records(records)
-        return self.membership.snapshot()
-
-    def fetch_configuration(self):
-        """Return the raw document in force, empty before the first."""
-        return self.configuration.raw
-
-    def report_lost_peer(self, stream):
-        """Drop a stream that has ended."""
-        self.peers.forget(stream)
-        log_event(Event.PEER_LOST, peer=stream.peer.hex())
-
-    def report_refused_peer(self, peer, error):
-        """Log a peer that broke the protocol or does not hold the fleet's key."""
-        log_event(Event.PEER_REFUSED, peer=peer.hex(), error=str(error))
-
-    def _merge_records(self, records):
-        try:
-            members = [Member.unpack(record) for record in records]
-        except (TypeError, ValueError, IndexError, UnpackException) as error:
-            log_event(Event.DATAGRAM_REFUSED, count=1, error=str(error))
-            return
-        self.membership.merge(members, self.clock())
-
     # Life cycle.
 
     def announce_server(self):
         """Note that the backend server says it is ready."""
         log_event(Event.SERVER_ANNOUNCED)
 
+    def dump_state(self):
+        """Return the whole state of the node's tables as plain values."""
+        return dump_state(self)
+
+    def reload(self):
+        """Do nothing: settings are read at the start, documents from the store."""
+
     def start_leaving(self):
         """Begin a graceful stop; may be called more than once."""
         if not self._leaving.is_set():
--- a/src/ragworthoist/_settings.py
+++ b/src/ragworthoist/_settings.py
@@ -2,9 +2,16 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, IPvAnyAddress, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    IPvAnyAddress,
+    ValidationError,
+    model_validator,
+)
 
 from ragworthoist._document import convert_validation_error
 from ragworthoist.exceptions import SettingsError
@@ -18,7 +25,7 @@
 
 
 class Address(_Model):
-    """An IP number and a port.
+    """An IP number and a port, also written as one text.
 
     Examples
     --------
@@ -29,6 +36,14 @@
     host: IPvAnyAddress
     port: Port
 
+    @model_validator(mode="before")
+    @classmethod
+    def _split_text(cls, value):
+        if isinstance(value, str):
+            host, _, port = value.rpartition(":")
+            return {"host": host, "port": int(port) if port.isdigit() else port}
+        return value
+
     @property
     def pair(self):
         """The address as a (host, port) tuple."""
@@ -49,11 +64,16 @@
 
 
 class StoreSettings(_Model):
-    """Where the platform's configuration store answers."""
+    """Where the platform's configuration store answers.
+
+    `configuration_key` is where operators keep the configuration, if not under the
+    fleet's name.
+    """
 
     url: str = Field(pattern=r"^https?://")
     timeout_ms: int = Field(default=1000, ge=10, le=60_000)
     protocol: str = "etcd"
+    configuration_key: str | None = None
 
 
 class FleetSettings(_Model):
@@ -71,14 +91,68 @@
 
 
 class LogSettings(_Model):
-    """Where structured logs go."""
+    """Where structured logs go, and how much of them.
+
+    Without `path` they go to standard output or, for a node of the edge with
+    tickets, to standard error. Lines beyond the rates are counted instead of
+    written.
+    """
 
     path: str | None = None
+    lines_per_second: int = Field(default=100, ge=1)
+    bytes_per_second: int = Field(default=40_000, ge=1000)
+
+
+class AttemptNodeSettings(_Model):
+    """What a node of the edge for attempts is and where it listens.
+
+    `entrance` takes requests of clients and of the local server, `reports` the
+    server's reports, `readiness` the question whether to send clients here.
+    """
+
+    name: str
+    service: str = Field(min_length=1)
+    region: str
+    failure_domain: str
+    entrance: Address
+    readiness: Address
+    reports: Address
+    peers: Address
+    server: Address
+    metrics: Address | None = None
+
+
+class BoundSettings(_Model):
+    """Bounds that hold for the whole fleet.
+
+    `drain_ms` is the time after an acknowledged leave of a backend server in which
+    requests may still arrive there, `grace_seconds` the time a node has to stop.
+    Repeated hand-overs to a service stay below `repeat_ratio` of its requests in
+    `repeat_window_seconds`, plus `repeat_extra`.
+    """
+
+    drain_ms: float = Field(default=2000, ge=0)
+    grace_seconds: float = Field(default=6, gt=0)
+    repeat_ratio: float = Field(default=0.1, ge=0)
+    repeat_extra: float = Field(default=10, ge=0)
+    repeat_window_seconds: float = Field(default=10, gt=0)
+
+
+class AttemptSettings(_Model):
+    """All settings of a node of the edge for attempts."""
+
+    edge: Literal["attempts"]
+    node: AttemptNodeSettings
+    fleet: FleetSettings
+    store: StoreSettings
+    log: LogSettings = LogSettings()
+    bounds: BoundSettings = BoundSettings()
 
 
 class Settings(_Model):
-    """All settings of a node."""
+    """All settings of a node of the edge with tickets."""
 
+    edge: Literal["tickets"] = "tickets"
     node: NodeSettings
     fleet: FleetSettings
     store: StoreSettings
@@ -87,7 +161,7 @@
 
 
 def load_settings(path):
-    """Return the `Settings` in the TOML file at `path`.
+    """Return the `Settings` or `AttemptSettings` in the TOML file at `path`.
 
     Raises
     ------
@@ -101,6 +175,7 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(str(path), "file", str(error), "TOML") from None
     try:
-        return Settings.model_validate(values)
+        model = AttemptSettings if values.get("edge") == "attempts" else Settings
+        return model.model_validate(values)
     except ValidationError as error:
         raise convert_validation_error(error, str(path), SettingsError) from None
--- a/src/ragworthoist/core/admission.py
+++ b/src/ragworthoist/core/admission.py
@@ -171,6 +171,19 @@
         wanted = self.limiter.limit * QUEUE_PER_LIMIT
         return int(max(MIN_QUEUE, min(MAX_QUEUE, wanted)))
 
+    def count_ahead(self, rank):
+        """Return how many waiting calls would be handed over before one of `rank`."""
+        return sum(queue.length for r, queue in self._ranks.items() if r <= rank)
+
+    def list_waiting(self):
+        """Return the entries that wait."""
+        return [
+            entry
+            for rank in self._ranks.values()
+            for kind in rank.kinds.values()
+            for entry in kind.entries
+        ]
+
     def offer(self, entry, now):
         """Take `entry` in; its `notify` is called now or later."""
         call = entry.call
--- /dev/null
+++ b/src/ragworthoist/core/budgets.py
@@ -0,0 +1,69 @@
+"""One node's share of the fleet's budget of repeated hand-overs."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+# Nodes count apart and windows slide, so a part of the ratio stays unused.
+RATIO_SHARE = 0.5
+EXTRA_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetTerms:
+    """The fleet's bound: `ratio` of the requests of a window, plus `extra`."""
+
+    ratio: float
+    extra: float
+    window_seconds: float
+
+
+@dataclass(slots=True)
+class _Window:
+    requests: deque = field(default_factory=deque)
+    repeats: deque = field(default_factory=deque)
+
+    def trim(self, earliest):
+        for times in (self.requests, self.repeats):
+            while times and times[0] < earliest:
+                times.popleft()
+
+
+class RepeatBudget:
+    """Repeats that this node may make towards each service.
+
+    Its share is a part of its own requests in the window and an even part of the
+    fixed allowance, so that all nodes together stay below the fleet's bound
+    without exchanging counts.
+
+    Examples
+    --------
+    >>> budget = RepeatBudget(BudgetTerms(0.2, 4, 10.0))
+    >>> [budget.withdraw("stock", 1.0, 1) for _ in range(3)]
+    [True, True, False]
+    """
+
+    def __init__(self, terms):
+        self.terms = terms
+        self._windows = {}
+
+    def record_request(self, service, now):
+        """Count a client's request for `service`."""
+        window = self._window(service, now)
+        window.requests.append(now)
+
+    def withdraw(self, service, now, fleet_size):
+        """Use one repeat; return False when the share is spent."""
+        window = self._window(service, now)
+        allowed = RATIO_SHARE * self.terms.ratio * len(window.requests)
+        allowed += EXTRA_SHARE * self.terms.extra / max(1, fleet_size)
+        if len(window.repeats) + 1 > allowed:
+            return False
+        window.repeats.append(now)
+        return True
+
+    def _window(self, service, now):
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = _Window()
+        window.trim(now - self.terms.window_seconds)
+        return window
--- a/src/ragworthoist/core/configuration.py
+++ b/src/ragworthoist/core/configuration.py
@@ -5,7 +5,7 @@
 stays.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from ragworthoist._document import parse_document
@@ -20,10 +20,18 @@
     OLDER = "older"
 
 
+def compile_document(raw, now=None):
+    """Return the `Policy` of the product's own document in `raw`."""
+    return Policy(parse_document(raw), now)
+
+
 @dataclass(slots=True)
 class ConfigurationTable:
     """The document in force, as received and compiled.
 
+    `compile` turns raw bytes into a policy with a `version`; it stands for the
+    format that the edge in use reads.
+
     Examples
     --------
     >>> from ragworthoist import Document
@@ -37,7 +45,8 @@
     """
 
     raw: bytes = b""
-    policy: Policy | None = None
+    policy: object = None
+    compile: object = field(default=compile_document, repr=False)
 
     @property
     def version(self):
@@ -52,12 +61,12 @@
         DocumentError
             If `raw` does not parse or breaks a rule; nothing changes then.
         """
-        document = parse_document(raw)
-        if self.policy is not None and document.version <= self.version:
-            same = document.version == self.version
+        policy = self.compile(raw, now)
+        if self.policy is not None and policy.version <= self.version:
+            same = policy.version == self.version
             return Adoption.SAME if same else Adoption.OLDER
         self.raw = raw
-        self.policy = Policy(document, now)
+        self.policy = policy
         return Adoption.ADOPTED
 
     def refresh_exceptions(self, now):
--- a/src/ragworthoist/core/entities.py
+++ b/src/ragworthoist/core/entities.py
@@ -29,6 +29,8 @@
     SERVER_REFUSED = "server-refused"
     SERVER_LOST = "server-lost"
     SERVER_UNREACHABLE = "server-unreachable"
+    SERVER_GARBLED = "server-garbled"
+    SERVER_UNVERIFIED = "server-unverified"
     SHED = "shed"
     LEVEL = "level"
     DEADLINE = "deadline"
@@ -56,7 +58,8 @@
 
     `kind`, `rank`, `deadline` and `draw` are settled once at the entrance and
     stay the same down the chain. `deadline` is in seconds of the local monotonic
-    clock.
+    clock, `aim` the latency in seconds that is aimed at. `body` is a `BodyPipe` where
+    it is long and the edge streams bodies.
     """
 
     request_id: bytes
@@ -74,6 +77,7 @@
     idempotent: bool = True
     repeat: bool = False
     ticket: bytes = b""
+    aim: float = 1.0
 
 
 @dataclass(slots=True)
@@ -81,7 +85,8 @@
     """How an attempt ended, with the whole response of the server if there is one.
 
     `unused` is the part of the retry allotment that comes back. `retryable` is
-    false when repeating the attempt elsewhere would meet the same refusal.
+    false when repeating the attempt elsewhere would meet the same refusal. `load` is
+    the share of its limit that the endpoint has in use, above 1 while calls wait.
     """
 
     outcome: Outcome
@@ -92,6 +97,7 @@
     unused: int = 0
     retryable: bool = True
     levels: list = field(default_factory=list)
+    load: float = 0.0
 
 
 def refuse(reason, call=None, retryable=True):
--- a/src/ragworthoist/core/membership.py
+++ b/src/ragworthoist/core/membership.py
@@ -51,7 +51,8 @@
     """One node as the fleet knows it.
 
     `instance` is drawn anew at each start of the process; `host` and `port` are
-    its address for peers, the same for streams and datagrams.
+    its address for peers, the same for streams and datagrams. `accepting` tells
+    whether the backend server beside the node takes calls.
     """
 
     instance: bytes
@@ -62,6 +63,7 @@
     port: int
     incarnation: int = 0
     state: MemberState = MemberState.ALIVE
+    accepting: bool = True
 
     def pack(self):
         """Return the record as a list for the wire."""
@@ -74,12 +76,13 @@
             self.port,
             self.incarnation,
             int(self.state),
+            self.accepting,
         ]
 
     @classmethod
     def unpack(cls, record):
         """Return the member in a list made by `pack`."""
-        return cls(*record[:7], MemberState(record[7]))
+        return cls(*record[:7], MemberState(record[7]), bool(record[8]))
 
     @property
     def address(self):
@@ -216,11 +219,17 @@
 
     def leave(self, now):
         """Mark this node as leaving; return datagrams that tell others."""
-        return self._announce(MemberState.LEAVING, now)
+        return self._announce(now, state=MemberState.LEAVING)
+
+    def set_accepting(self, accepting, now):
+        """Tell others whether the server here takes calls; return datagrams."""
+        if self.node.accepting == accepting:
+            return []
+        return self._announce(now, accepting=accepting)
 
     def depart(self, now):
         """Mark this node as gone for good; return datagrams that tell others."""
-        return self._announce(MemberState.LEFT, now)
+        return self._announce(now, state=MemberState.LEFT)
 
     def hint(self):
         """Return datagrams that tell a few nodes of a new configuration."""
@@ -259,10 +268,8 @@
         own = self.node.instance
         return any(member.instance == own for member in self.watchers())
 
-    def _announce(self, state, now):
-        self.node = replace(
-            self.node, state=state, incarnation=self.node.incarnation + 1
-        )
+    def _announce(self, now, **changes):
+        self.node = replace(self.node, incarnation=self.node.incarnation + 1, **changes)
         self._store(self.node, now)
         peers = self.peers()
         chosen = self._random.sample(peers, min(2 * HINT_FANOUT, len(peers)))
@@ -395,6 +402,9 @@
         if member.instance == self.node.instance:
             self._refute(member, now)
             return
+        if member.address == self.node.address and member.is_present:
+            # A process that ran here before this one.
+            member = replace(member, state=MemberState.DEAD)
         known = self.members.get(member.instance)
         if known is None:
             self._store(member, now)
@@ -434,12 +444,14 @@
         if known is None or known.state != member.state:
             self.changed.append(member)
             self._rebuild_services()
+        elif known.accepting != member.accepting:
+            self._rebuild_services()
 
     def _rebuild_services(self):
         self.version += 1
         by_service = {}
         for member in self.members.values():
-            if member.state <= MemberState.SUSPECT:
+            if member.state <= MemberState.SUSPECT and member.accepting:
                 by_service.setdefault(member.service, []).append(member)
         self.by_service = by_service
 
--- /dev/null
+++ b/src/ragworthoist/core/routes.py
@@ -0,0 +1,128 @@
+"""Routes of customer requests: which service serves them, and on what terms."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """One part of a weighted split."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """How the requests under one prefix of one host are treated.
+
+    `timeout` and `aim` are in seconds: how long a caller is kept waiting at most,
+    and the latency that is aimed at. `max_attempts` bounds the endpoints to which
+    one attempt of a client may be handed.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout: float
+    aim: float
+    rank: int
+    max_attempts: int
+    shares: tuple
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceInfo:
+    """What the configuration says of one service."""
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Bounds on what a client may send, in bytes and seconds."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 64 * 1024 * 1024
+    head_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteDocument:
+    """One version of the operators' configuration."""
+
+    version: int
+    routes: tuple
+    services: dict
+    limits: RequestLimits
+
+
+class RouteTable:
+    """A `RouteDocument` compiled for lookup on the path of a request.
+
+    Examples
+    --------
+    >>> route = Route("shop", "a.example", "/x/", True, 1.0, 0.1, 0, 2,
+    ...               (Share("shop", 1.0),))
+    >>> document = RouteDocument(1, (route,), {}, RequestLimits())
+    >>> RouteTable(document).find("a.example", "/x/y").name
+    'shop'
+    >>> RouteTable(document).find("a.example", "/z/") is None
+    True
+    """
+
+    def __init__(self, document):
+        self.document = document
+        self.version = document.version
+        self.limits = document.limits
+        self._hosts = {}
+        for route in document.routes:
+            self._hosts.setdefault(route.host, []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host, path):
+        """Return the route with the longest prefix of `path`, None without one."""
+        for route in self._hosts.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def service(self, name):
+        """Return the `ServiceInfo` of the service called `name`, or None."""
+        return self.document.services.get(name)
+
+
+@dataclass(slots=True)
+class _Turn:
+    shares: tuple
+    current: list = field(default_factory=list)
+
+
+class Splitter:
+    """Deals the requests of a route to its services by smooth weighted round robin.
+
+    Every run of requests, however short, then stays close to the weights.
+    """
+
+    def __init__(self):
+        self._turns = {}
+
+    def choose(self, route):
+        """Return the name of the service for the next request of `route`."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        turn = self._turns.get(route.name)
+        if turn is None or turn.shares != route.shares:
+            turn = _Turn(route.shares, [0.0] * len(route.shares))
+            self._turns[route.name] = turn
+        total = 0.0
+        for index, share in enumerate(route.shares):
+            turn.current[index] += share.weight
+            total += share.weight
+        chosen = max(range(len(route.shares)), key=turn.current.__getitem__)
+        turn.current[chosen] -= total
+        return route.shares[chosen].service
--- /dev/null
+++ b/src/ragworthoist/edge/dispatching.py
@@ -0,0 +1,164 @@
+"""Attempts to have a call run by some endpoint of its service."""
+
+from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
+from ragworthoist.events import Event, log_event
+
+# Refusals of nodes cost a hop each; more of them than this say that the whole
+# service is short of room.
+MAX_REFUSALS = 3
+SERVER_FAULT = 500
+
+# Refusals that say nothing was sent to the endpoint at all.
+_BEFORE_HAND_OVER = frozenset(
+    {
+        Reason.SHED,
+        Reason.LEAVING,
+        Reason.SERVER_UNVERIFIED,
+        Reason.SERVER_UNREACHABLE,
+        Reason.PEER_UNREACHABLE,
+        Reason.NO_CONFIGURATION,
+    }
+)
+_ENDPOINT_FAILURES = frozenset(
+    {
+        Reason.PEER_UNREACHABLE,
+        Reason.PEER_LOST,
+        Reason.SERVER_UNREACHABLE,
+    }
+)
+_RUN_FAILURES = frozenset(
+    {Reason.SERVER_LOST, Reason.SERVER_GARBLED, Reason.SERVER_ERROR, Reason.PEER_LOST}
+)
+
+
+class AttemptDispatcher:
+    """Chooses endpoints and repeats hand-overs within the route's and fleet's bounds.
+
+    Parameters
+    ----------
+    node : EdgeNode
+        Supplies `instance`, `clock`, `membership`, `placement`, `peers`,
+        `handover` and `budget`.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def dispatch(self, call, route):
+        """Return the `Answer` to `call`.
+
+        An attempt that may have run makes the outcome unknown, whatever later
+        attempts say. A call that is not idempotent is repeated only after a
+        proven refusal.
+        """
+        node = self._node
+        excluded = set()
+        refusals = 0
+        best = None
+        may_have_run = False
+        answer = None
+        while True:
+            now = node.clock()
+            if now >= call.deadline:
+                answer = answer or refuse(Reason.DEADLINE, call)
+                break
+            endpoint = self._choose(call, excluded, now)
+            if endpoint is None:
+                answer = answer or refuse(Reason.NO_ENDPOINT, call)
+                break
+            answer = await self._attempt(endpoint, call)
+            excluded.add(endpoint.instance)
+            if answer.outcome is Outcome.COMPLETED:
+                if answer.status < SERVER_FAULT:
+                    return answer
+                best = answer
+            may_have_run = may_have_run or answer.outcome is not Outcome.NOT_RUN
+            if not self._may_repeat(call, answer, refusals):
+                break
+            refusals += 1
+            self._log_repeat(call, endpoint, answer)
+        if best is not None:
+            return best
+        if may_have_run and answer.outcome is Outcome.NOT_RUN:
+            answer = Answer(Outcome.UNKNOWN, answer.reason)
+        return answer
+
+    def _choose(self, call, excluded, now):
+        node = self._node
+        membership = node.membership
+        candidates = node.placement.candidates(
+            call.service, membership.by_service, membership.version, excluded, now
+        )
+        if not candidates:
+            return None
+        return node.placement.choose(candidates, call.kind, call.aim, now)
+
+    async def _attempt(self, endpoint, call):
+        node = self._node
+        node.placement.record_start(endpoint.instance)
+        started = node.clock()
+        answer = None
+        try:
+            if endpoint.instance == node.instance:
+                answer = await node.handover.serve(call)
+            else:
+                answer = await node.peers.call(endpoint, call)
+        finally:
+            self._learn(endpoint, call, answer, started)
+        return answer
+
+    def _learn(self, endpoint, call, answer, started):
+        node = self._node
+        now = node.clock()
+        if answer is None:
+            node.placement.record_end(endpoint.instance, now)
+            return
+        node.placement.record_end(
+            endpoint.instance,
+            now,
+            failed=answer.reason in _ENDPOINT_FAILURES,
+            shed=answer.reason in (Reason.SHED, Reason.SERVER_REFUSED),
+            leaving=answer.reason in (Reason.LEAVING, Reason.SERVER_UNVERIFIED),
+        )
+        if answer.outcome is Outcome.COMPLETED or answer.reason in _RUN_FAILURES:
+            failed = answer.reason in _RUN_FAILURES or answer.status >= SERVER_FAULT
+            node.placement.record_answer(
+                endpoint.instance, call.kind, now - started, answer.load, failed, now
+            )
+        elif answer.reason is Reason.SERVER_REFUSED:
+            node.placement.record_answer(
+                endpoint.instance, call.kind, 0.0, answer.load, True, now
+            )
+        elif answer.reason is Reason.SHED:
+            node.placement.record_load(endpoint.instance, answer.load, now)
+
+    def _may_repeat(self, call, answer, refusals):
+        node = self._node
+        if answer.outcome is not Outcome.NOT_RUN and not call.idempotent:
+            return False
+        if not isinstance(call.body, bytes) and call.body.touched:
+            return False
+        now = node.clock()
+        if now >= call.deadline:
+            return False
+        if answer.outcome is Outcome.NOT_RUN and answer.reason in _BEFORE_HAND_OVER:
+            return refusals < MAX_REFUSALS
+        if answer.reason is Reason.DEADLINE or call.allotment <= 0:
+            return False
+        fleet_size = len(node.membership.peers()) + 1
+        if not node.budget.withdraw(call.service, now, fleet_size):
+            return False
+        call.allotment -= 1
+        call.repeat = True
+        return True
+
+    def _log_repeat(self, call, endpoint, answer):
+        log_event(
+            Event.ATTEMPT_REPEATED,
+            request=call.request_id.decode("latin1"),
+            endpoint=endpoint.instance.hex(),
+            outcome=answer.outcome.label,
+            reason=answer.reason.value,
+            load=round(answer.load, 2),
+            left=call.allotment,
+        )
--- /dev/null
+++ b/src/ragworthoist/edge/entrance.py
@@ -0,0 +1,150 @@
+"""Where requests of clients and of the local backend server enter."""
+
+from ragworthoist.core.entities import Call, Outcome, Reason, draw_from, refuse
+from ragworthoist.events import Event, log_event
+from ragworthoist.exceptions import CallerGoneError
+from ragworthoist.platform.headers import make_refusal_headers, read_attempt
+
+# A refused client is told to come back within this share of its time.
+RETRY_SHARE_OF_PATIENCE = 0.3
+RETRY_MIN_SECONDS = 0.05
+RETRY_AIM_SHARE = 0.5
+
+_STATUSES = {
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.MALFORMED: 400,
+    Reason.DEADLINE: 504,
+}
+_NOT_RUN_STATUS = 503
+_UNKNOWN_STATUS = 502
+
+
+class AttemptEntrance:
+    """Settles what an attempt is, has it dispatched, and delivers the answer.
+
+    Parameters
+    ----------
+    node : EdgeNode
+        Supplies `policy`, `splitter`, `dispatcher`, `budget`, `clock`, `outcomes`.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def handle(self, request):
+        """Serve one `Request` of the listener."""
+        node = self._node
+        started = node.clock()
+        call, route, attempt_id, reason = self._make_call(request, started)
+        if call is None:
+            answer = refuse(reason)
+            self._log(request, attempt_id, None, answer, started)
+            headers = make_refusal_headers(attempt_id, None)
+            await request.respond(_status_of(answer), headers)
+            return
+        node.budget.record_request(call.service, started)
+        try:
+            answer = await node.dispatcher.dispatch(call, route)
+        except BaseException:
+            log_event(
+                Event.CALLER_LEFT,
+                request=attempt_id.decode("latin1"),
+                route=route.name,
+                after_ms=_milliseconds(node.clock() - started),
+            )
+            raise
+        self._log(request, attempt_id, route, answer, started)
+        node.outcomes.record(call.kind, call.rank, answer, node.clock() - started)
+        await self._deliver(request, attempt_id, call, answer)
+
+    def _make_call(self, request, now):
+        node = self._node
+        attempt = read_attempt(request.headers, node.settings.node.service)
+        attempt_id = attempt.attempt_id
+        table = node.policy
+        if table is None:
+            return None, None, attempt_id, Reason.NO_CONFIGURATION
+        target = request.target.decode("latin1")
+        route = table.find(attempt.host, target.partition("?")[0])
+        if route is None:
+            return None, None, attempt_id, Reason.UNKNOWN_ROUTE
+        if not attempt_id:
+            return None, None, attempt_id, Reason.MALFORMED
+        patience = route.timeout
+        if attempt.patience is not None:
+            patience = min(patience, attempt.patience)
+        call = Call(
+            request_id=attempt_id,
+            kind=route.name,
+            rank=route.rank,
+            weight=1.0,
+            deadline=now + patience,
+            draw=draw_from(attempt_id),
+            allotment=route.max_attempts - 1,
+            service=node.splitter.choose(route),
+            method=request.method,
+            target=target,
+            headers=attempt.headers,
+            body=request.body,
+            idempotent=route.idempotent,
+            aim=route.aim,
+        )
+        return call, route, attempt_id, None
+
+    async def _deliver(self, request, attempt_id, call, answer):
+        if answer.outcome is Outcome.COMPLETED:
+            try:
+                await request.respond(answer.status, answer.headers, answer.body)
+            except CallerGoneError:
+                if not isinstance(answer.body, bytes):
+                    answer.body.discard()
+                raise
+            return
+        retry_after = None
+        if answer.outcome is Outcome.NOT_RUN and answer.reason is not Reason.DEADLINE:
+            retry_after = self._suggest_return(call)
+        headers = make_refusal_headers(attempt_id, retry_after)
+        await request.respond(_status_of(answer), headers)
+
+    def _suggest_return(self, call):
+        """Return seconds after which a refused client may find room."""
+        left = max(0.0, call.deadline - self._node.clock())
+        wanted = RETRY_MIN_SECONDS + RETRY_AIM_SHARE * call.aim * (
+            0.5 + self._node.random.random()
+        )
+        return min(wanted, RETRY_SHARE_OF_PATIENCE * left)
+
+    def _log(self, request, attempt_id, route, answer, started):
+        event = _EVENTS[answer.outcome]
+        if answer.outcome is Outcome.COMPLETED and answer.status >= 500:
+            event = Event.REQUEST_FAILED
+        node = self._node
+        log_event(
+            event,
+            request=attempt_id.decode("latin1"),
+            route=route.name if route else "",
+            configuration=node.configuration.version,
+            outcome=answer.outcome.label,
+            reason=answer.reason.value,
+            status=answer.status or _status_of(answer),
+            load=round(answer.load, 2),
+            after_ms=_milliseconds(node.clock() - started),
+        )
+
+
+_EVENTS = {
+    Outcome.COMPLETED: Event.REQUEST_SERVED,
+    Outcome.NOT_RUN: Event.REQUEST_REFUSED,
+    Outcome.UNKNOWN: Event.REQUEST_FAILED,
+}
+
+
+def _status_of(answer):
+    if answer.outcome is Outcome.NOT_RUN and answer.reason is Reason.DEADLINE:
+        return _NOT_RUN_STATUS
+    default = _NOT_RUN_STATUS if answer.outcome is Outcome.NOT_RUN else _UNKNOWN_STATUS
+    return _STATUSES.get(answer.reason, default)
+
+
+def _milliseconds(seconds):
+    return round(seconds * 1000, 1)
--- /dev/null
+++ b/src/ragworthoist/edge/handover.py
@@ -0,0 +1,320 @@
+"""The last hop: admission of calls and their hand-over to the server beside the node.
+
+Only this node reaches the server, so its refusal before a hand-over proves that the
+call has not run and will not.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from ragworthoist.core.admission import Admission, Entry, EntryState
+from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
+from ragworthoist.core.lifetimes import ServerState
+from ragworthoist.core.policy import ServicePolicy
+from ragworthoist.events import Event, log_event
+from ragworthoist.exceptions import (
+    ConnectFailedError,
+    ConnectionLostError,
+    GarbledResponseError,
+)
+from ragworthoist.platform.headers import (
+    attempt_id_of,
+    forward_answer_headers,
+    make_hand_over_headers,
+    read_verdict,
+)
+
+# Slots of a server that has not told them yet: few enough for the smallest.
+UNTOLD_SLOTS = 16
+# The last slots are left free: some servers slow down when they are nearly full.
+SLOT_SHARE = 0.9
+# A call that would wait longer than this part of its aim is better off elsewhere.
+QUEUE_SHARE_OF_AIM = 0.25
+# Time for the server's own answer at the time limit to arrive.
+ANSWER_GRACE_SECONDS = 0.08
+CONNECT_FAILURES_UNTIL_LOST = 3
+SERVICE_TIME_DECAY = 0.98
+MISLEADING_STATUSES = frozenset({408, 421, 429, 503})
+
+_POLICY = ServicePolicy(
+    limit="fixed",
+    fixed_limit=UNTOLD_SLOTS,
+    order="draw_when_late",
+    shed="draw",
+    queue_time=0.05,
+    retry_budget=0.0,
+    carry_levels=False,
+    rank_order=True,
+)
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One call that this node has taken in."""
+
+    call: object
+    reply: object
+    entry: object = None
+    task: object = None
+    is_cancelled: bool = False
+
+
+class Handover:
+    """Admits calls and hands them to the backend server.
+
+    Parameters
+    ----------
+    life : ServerLife
+        What is known of the server.
+    client : HttpClient
+        Connections to it.
+    clock : callable
+        Time in seconds.
+    """
+
+    def __init__(self, life, client, clock):
+        self.life = life
+        self.admission = Admission(_POLICY)
+        self.is_leaving = False
+        self.in_progress = 0
+        self._client = client
+        self._clock = clock
+        self._connect_failures = 0
+
+    async def serve(self, call):
+        """Take in `call` from this very node and return its `Answer`."""
+        done = asyncio.get_running_loop().create_future()
+
+        def reply(answer):
+            if not done.done():
+                done.set_result(answer)
+
+        work = self.submit(call, reply)
+        try:
+            return await done
+        except asyncio.CancelledError:
+            if work is not None:
+                self.cancel(work)
+            raise
+
+    def submit(self, call, reply):
+        """Take in `call`; `reply` is called once with its `Answer`.
+
+        Returns
+        -------
+        Work or None
+            A handle for `cancel`, None when the call was refused.
+        """
+        now = self._clock()
+        reason = self._reason_to_refuse(call, now)
+        if reason is not None:
+            self._refuse(call, reply, reason)
+            return None
+        work = Work(call, reply)
+        self.in_progress += 1
+        work.entry = Entry(call, now, lambda entry: self._on_decided(work))
+        self.admission.offer(work.entry, now)
+        return work
+
+    def cancel(self, work):
+        """End `work`, whose caller has gone."""
+        if work.is_cancelled:
+            return
+        work.is_cancelled = True
+        if work.entry.state is EntryState.WAITING:
+            self.admission.withdraw(work.entry)
+            self.in_progress -= 1
+        elif work.task is not None:
+            work.task.cancel()
+
+    def apply_slots(self, slots):
+        """Use the number of slots that the server has told."""
+        limit = max(1.0, int(slots * SLOT_SHARE)) if slots else float(UNTOLD_SLOTS)
+        if limit != self.admission.limiter.limit:
+            self.admission.limiter.limit = limit
+            self.admission.start_waiting(self._clock())
+
+    @property
+    def load(self):
+        """Share of the limit in use, above 1 while calls wait."""
+        admission = self.admission
+        return (admission.in_flight + len(admission)) / admission.limiter.limit
+
+    def tick(self, now):
+        """Drop calls that can no longer be served in time."""
+        if not self.life.admits(now):
+            self._refuse_waiting(now)
+        if not self.admission.in_flight:
+            # Without calls nothing is learned, and an old slowness must not last.
+            self.admission.service_time *= SERVICE_TIME_DECAY
+        self.admission.tick(now)
+
+    def _reason_to_refuse(self, call, now):
+        if self.is_leaving:
+            return Reason.LEAVING
+        if not self.life.admits(now):
+            is_unknown = self.life.state is ServerState.UNKNOWN
+            return Reason.SERVER_UNVERIFIED if is_unknown else Reason.LEAVING
+        admission = self.admission
+        if admission.is_busy:
+            ahead = admission.count_ahead(call.rank) + 1
+            wait = ahead * admission.service_time / admission.limiter.limit
+            if wait > QUEUE_SHARE_OF_AIM * call.aim:
+                return Reason.SHED
+        return None
+
+    def _refuse(self, call, reply, reason):
+        answer = refuse(reason, call)
+        answer.load = self.load
+        log_event(
+            Event.CALL_REFUSED,
+            request=call.request_id.decode("latin1"),
+            reason=reason.value,
+            server=self.life.instance,
+            state=self.life.state.value,
+            in_flight=self.admission.in_flight,
+            waiting=len(self.admission),
+            limit=self.admission.limiter.limit,
+        )
+        reply(answer)
+
+    def _refuse_waiting(self, now):
+        for entry in self.admission.list_waiting():
+            self.admission.withdraw(entry)
+            entry.notify(entry)
+
+    def _on_decided(self, work):
+        if work.entry.state is EntryState.RUNNING:
+            loop = asyncio.get_running_loop()
+            work.task = loop.create_task(self._hand_over(work))
+            return
+        self.in_progress -= 1
+        late = work.call.deadline <= self._clock()
+        self._refuse(work.call, work.reply, Reason.DEADLINE if late else Reason.SHED)
+
+    async def _hand_over(self, work):
+        call = work.call
+        now = self._clock()
+        remaining = call.deadline - now
+        reason = None
+        if work.is_cancelled:
+            reason = Reason.CANCELLED
+        elif remaining <= 0:
+            reason = Reason.DEADLINE
+        elif not self.life.admits(now):
+            reason = Reason.LEAVING
+        if reason is not None:
+            self.admission.abandon(work.entry, now)
+            self.in_progress -= 1
+            self._refuse(call, work.reply, reason)
+            return
+        answer = None
+        try:
+            answer = await self._exchange(call, remaining)
+        except Exception as error:
+            log_event(Event.TASK_FAILED, task="hand_over", error=repr(error))
+            answer = Answer(Outcome.UNKNOWN, Reason.SERVER_ERROR)
+        finally:
+            self._finish(work, answer)
+
+    async def _exchange(self, call, remaining):
+        attempt_id = attempt_id_of(call.headers)
+
+        def accepts(response):
+            verdict = read_verdict(response)
+            if verdict.attempt_id:
+                return verdict.attempt_id == attempt_id
+            return response.status >= 400
+
+        head = self._make_head(call, remaining)
+        try:
+            async with asyncio.timeout(remaining + ANSWER_GRACE_SECONDS):
+                response = await self._client.send(
+                    head, call.body, accepts, call.method == "HEAD"
+                )
+        except ConnectFailedError:
+            self._note_connect_failure()
+            return Answer(Outcome.NOT_RUN, Reason.SERVER_UNREACHABLE)
+        except ConnectionLostError:
+            return Answer(Outcome.UNKNOWN, Reason.SERVER_LOST)
+        except GarbledResponseError:
+            return Answer(Outcome.UNKNOWN, Reason.SERVER_GARBLED)
+        except TimeoutError:
+            return Answer(Outcome.UNKNOWN, Reason.DEADLINE)
+        self._connect_failures = 0
+        return self._judge(response, attempt_id)
+
+    def _judge(self, response, attempt_id):
+        verdict = read_verdict(response)
+        status = response.status
+        if verdict.is_misdirected:
+            self.life.lose(self._clock())
+        if verdict.not_run or verdict.is_misdirected:
+            answer = Answer(Outcome.NOT_RUN, Reason.SERVER_REFUSED, status)
+        elif status in MISLEADING_STATUSES:
+            # Callers read these as a promise that the call has not run.
+            answer = Answer(Outcome.UNKNOWN, Reason.SERVER_ERROR)
+        elif status < 300 and (
+            not verdict.is_sealed
+            or verdict.is_encoded
+            or verdict.attempt_id != attempt_id
+        ):
+            answer = Answer(Outcome.UNKNOWN, Reason.SERVER_GARBLED)
+        else:
+            headers = forward_answer_headers(response.headers)
+            return Answer(
+                Outcome.COMPLETED, Reason.ANSWERED, status, headers, response.body
+            )
+        if not isinstance(response.body, bytes):
+            response.body.discard()
+        return answer
+
+    def _make_head(self, call, remaining):
+        parts = [
+            b"%s %s HTTP/1.1\r\n" % (call.method.encode(), call.target.encode("latin1"))
+        ]
+        headers = call.headers + make_hand_over_headers(remaining, self.life.instance)
+        for name, value in headers:
+            parts.append(b"%s: %s\r\n" % (name, value))
+        if not isinstance(call.body, bytes):
+            parts.append(b"transfer-encoding: chunked\r\n\r\n")
+        elif call.body or call.method in ("POST", "PUT", "PATCH"):
+            parts.append(b"content-length: %d\r\n\r\n" % len(call.body))
+        else:
+            parts.append(b"\r\n")
+        return b"".join(parts)
+
+    def _finish(self, work, answer):
+        now = self._clock()
+        self.in_progress -= 1
+        if answer is None or answer.outcome is Outcome.NOT_RUN:
+            self.admission.abandon(work.entry, now)
+        else:
+            ok = answer.outcome is Outcome.COMPLETED and answer.status < 500
+            self.admission.finish(work.entry, now, ok)
+        if answer is None:
+            return
+        answer.load = self.load
+        answer.unused = work.call.allotment
+        self._log(work, answer, now)
+        work.reply(answer)
+
+    def _log(self, work, answer, now):
+        failed = answer.outcome is not Outcome.COMPLETED or answer.status >= 500
+        log_event(
+            Event.CALL_FAILED if failed else Event.CALL_HANDED,
+            request=work.call.request_id.decode("latin1"),
+            server=self.life.instance,
+            outcome=answer.outcome.label,
+            reason=answer.reason.value,
+            status=answer.status,
+            waited_ms=round((work.entry.started - work.entry.arrived) * 1000, 1),
+            ran_ms=round((now - work.entry.started) * 1000, 1),
+            load=round(answer.load, 2),
+        )
+
+    def _note_connect_failure(self):
+        self._connect_failures += 1
+        if self._connect_failures >= CONNECT_FAILURES_UNTIL_LOST:
+            self._connect_failures = 0
+            self.life.lose(self._clock())
--- /dev/null
+++ b/src/ragworthoist/edge/joining.py
@@ -0,0 +1,117 @@
+"""How nodes without seed addresses meet: leased address records in the store.
+
+A node writes its record when it starts and reads those of others once. After that
+gossip keeps the members, and only a few nodes of each failure domain, chosen by
+rendezvous, keep their records alive for those that start later.
+"""
+
+import anyio
+import msgpack
+
+from ragworthoist._keeping import peers_prefix
+from ragworthoist.core.membership import Member
+from ragworthoist.events import Event, log_event
+from ragworthoist.exceptions import StoreError
+
+RECORD_LEASE_SECONDS = 15.0
+KEEP_SECONDS = 5.0
+RETRY_SECONDS = 0.4
+ALONE_SECONDS = 1.0
+# Reading again heals a fleet that has fallen apart; rare, as every read is paid for.
+READ_AGAIN_SECONDS = 30.0
+
+
+class Meeting:
+    """Keeps one node in touch with the fleet through the store.
+
+    Parameters
+    ----------
+    node : FleetNode
+        Supplies `membership`, `random`, `greet`.
+    store : object
+        The platform's store.
+    fleet : str
+        Name of the fleet.
+    dependency : StoreDependency
+        Told whether the store answers.
+    """
+
+    def __init__(self, node, store, fleet, dependency):
+        self._node = node
+        self._store = store
+        self._prefix = peers_prefix(fleet)
+        self._dependency = dependency
+        self._lease = None
+        self.has_met = False
+
+    async def run(self):
+        """Meet the fleet, then keep the record while this node is chosen to."""
+        while not self.has_met:
+            self.has_met = await self._meet()
+            if not self.has_met:
+                await anyio.sleep(self._jitter(RETRY_SECONDS))
+        read_at = self._node.clock()
+        while True:
+            alone = not self._node.membership.peers()
+            await anyio.sleep(self._jitter(ALONE_SECONDS if alone else KEEP_SECONDS))
+            if not alone and not self._node.membership.is_watcher:
+                continue
+            await self._keep_record()
+            now = self._node.clock()
+            if alone or now - read_at > READ_AGAIN_SECONDS:
+                read_at = now
+                await self._read_records()
+
+    async def leave(self):
+        """Remove the own record."""
+        if self._lease is None:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except StoreError as error:
+            self._dependency.note(error)
+
+    async def _meet(self):
+        return await self._write_record() and await self._read_records()
+
+    async def _keep_record(self):
+        try:
+            if self._lease is not None and await self._store.keep_lease(self._lease):
+                return
+        except StoreError as error:
+            self._dependency.note(error)
+            return
+        await self._write_record()
+
+    async def _write_record(self):
+        member = self._node.membership.node
+        key = f"{self._prefix}{member.domain}/{member.host}"
+        try:
+            self._lease = await self._store.grant_lease(RECORD_LEASE_SECONDS)
+            await self._store.put(key, msgpack.packb(member.pack()), self._lease)
+        except StoreError as error:
+            self._dependency.note(error)
+            return False
+        self._dependency.note(None)
+        return True
+
+    async def _read_records(self):
+        try:
+            found = await self._store.list(self._prefix)
+        except StoreError as error:
+            self._dependency.note(error)
+            return False
+        self._dependency.note(None)
+        members = []
+        for value in found:
+            try:
+                members.append(Member.unpack(msgpack.unpackb(value.value)))
+            except (ValueError, TypeError, IndexError) as error:
+                log_event(
+                    Event.DATAGRAM_REFUSED, count=1, error=f"{value.key}: {error!r}"
+                )
+        await self._node.greet(members)
+        return True
+
+    def _jitter(self, seconds):
+        return seconds * (0.75 + 0.5 * self._node.random.random())
--- /dev/null
+++ b/src/ragworthoist/edge/node.py
@@ -0,0 +1,299 @@
+"""One node of the edge for attempts, beside one backend server."""
+
+import contextlib
+import hashlib
+import os
+import time
+
+import anyio
+
+from ragworthoist._fleet import FleetNode
+from ragworthoist._outcomes import OutcomeTable
+from ragworthoist._settings import load_settings
+from ragworthoist._tasks import TaskPool
+from ragworthoist.core.budgets import BudgetTerms, RepeatBudget
+from ragworthoist.core.configuration import ConfigurationTable
+from ragworthoist.core.lifetimes import ServerLife, ServerState
+from ragworthoist.core.placement import Placement
+from ragworthoist.core.routes import Splitter
+from ragworthoist.edge.dispatching import AttemptDispatcher
+from ragworthoist.edge.entrance import AttemptEntrance
+from ragworthoist.edge.following import ConfigurationFollower, StoreDependency
+from ragworthoist.edge.handover import Handover
+from ragworthoist.edge.joining import Meeting
+from ragworthoist.edge.observing import Observer, dump_edge_state
+from ragworthoist.edge.reporting import ServerReports
+from ragworthoist.events import Event, log_event
+from ragworthoist.exceptions import SettingsError
+from ragworthoist.net.client import HttpClient
+from ragworthoist.net.listener import Listener
+from ragworthoist.platform.configuration import compile_routes
+from ragworthoist.store import open_store
+
+TICK_SECONDS = 0.02
+CHECK_SECONDS = 0.1
+SETTINGS_POLL_SECONDS = 2.0
+# A node that has met nobody serves its own clients after this time.
+MEETING_PATIENCE_SECONDS = 3.0
+# Clients stop coming after two unanswered questions, asked once a second.
+ENTRANCE_GRACE_SECONDS = 2.6
+PEERS_GRACE_SECONDS = 1.0
+# What is left of the time until SIGKILL for closing down.
+EXIT_RESERVE_SECONDS = 0.4
+DRAIN_POLL_SECONDS = 0.05
+GREETED_AT_MOST = 24
+OPENED_AT_MOST = 64
+
+
+def read_clock():
+    """Return seconds of a clock that goes on while a machine stands still."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class EdgeNode(FleetNode):
+    """Everything that one process holds, and the tasks that run it.
+
+    Parameters
+    ----------
+    settings : AttemptSettings
+        What this node is and where it listens.
+    path : Path, optional
+        The settings file, read again when it changes.
+    """
+
+    streams_bodies = True
+
+    def __init__(self, settings, path=None):
+        key = hashlib.blake2b(settings.fleet.key.encode(), digest_size=32).digest()
+        table = ConfigurationTable(compile=compile_routes)
+        super().__init__(settings.node, key, read_clock, table, accepting=False)
+        self.settings = settings
+        self._path = path
+        self.bounds = settings.bounds
+        server = settings.node.server
+        self.life = ServerLife(
+            settings.node.service,
+            f"{server.host}:{server.port}",
+            self.bounds.drain_ms / 1000,
+        )
+        self.server_client = HttpClient(server.pair)
+        self.handover = Handover(self.life, self.server_client, self.clock)
+        self.placement = Placement(self.membership.node, self.random)
+        self.budget = RepeatBudget(_terms_of(self.bounds))
+        self.splitter = Splitter()
+        self.dispatcher = AttemptDispatcher(self)
+        self.outcomes = OutcomeTable()
+        self.entrance = Listener(
+            AttemptEntrance(self).handle, settings.node.entrance.pair, _log_malformed
+        )
+        self.is_ready = False
+        self.meeting = None
+        self.store = None
+        self._leaving = anyio.Event()
+        self._server_state = ServerState.UNKNOWN
+
+    async def run(self):
+        """Serve until told to leave, then stop gracefully."""
+        node = self.settings.node
+        log_event(
+            Event.NODE_STARTED, instance=self.instance.hex(), service=node.service
+        )
+        reports = ServerReports(self)
+        observer = Observer(self)
+        async with contextlib.AsyncExitStack() as stack:
+            self.store = await stack.enter_async_context(
+                open_store(self.settings.store)
+            )
+            await stack.enter_async_context(self.datagrams)
+            await stack.enter_async_context(self.server_client)
+            for handle, address in (
+                (reports.handle, node.reports),
+                (observer.answer_readiness, node.readiness),
+                (observer.answer_metrics, node.metrics),
+            ):
+                if address is not None:
+                    await stack.enter_async_context(Listener(handle, address.pair))
+            await stack.enter_async_context(self.entrance)
+            group = await stack.enter_async_context(anyio.create_task_group())
+            self.tasks = TaskPool(group)
+            await self._start(reports)
+            await self._leaving.wait()
+            await self._drain()
+            self.tasks.cancel()
+        log_event(Event.NODE_STOPPED, instance=self.instance.hex())
+
+    async def _start(self, reports):
+        await self.tasks.start(
+            self.peers.serve, self.settings.node.peers.pair, self.tasks
+        )
+        dependency = StoreDependency()
+        follower = ConfigurationFollower(
+            self, self.store, self.settings.store.configuration_key, dependency
+        )
+        self.meeting = Meeting(self, self.store, self.settings.fleet.name, dependency)
+        for loop in (
+            follower.follow,
+            self.meeting.run,
+            self._tick,
+            self._check,
+            self._gossip,
+            self._poll_settings,
+        ):
+            self.tasks.keep_running(loop)
+        self.tasks.keep_running(self.datagrams.receive, self._on_message)
+        self.tasks.start_soon(follower.ask_peers)
+        self.tasks.start_soon(reports.verify_server)
+
+    # Loops.
+
+    async def _tick(self):
+        while True:
+            await anyio.sleep(TICK_SECONDS)
+            self.handover.tick(self.clock())
+
+    async def _check(self):
+        while True:
+            await anyio.sleep(CHECK_SECONDS)
+            now = self.clock()
+            self.peers.check(now)
+            self.life.tick(now)
+            await self.note_server(now)
+            if not self.is_ready and self._may_be_ready(now):
+                self.is_ready = True
+                log_event(Event.NODE_READY, configuration=self.configuration.version)
+
+    def _may_be_ready(self, now):
+        if self.policy is None or self._leaving.is_set():
+            return False
+        waited = now - self.started
+        return self.meeting.has_met or waited > MEETING_PATIENCE_SECONDS
+
+    async def _poll_settings(self):
+        stamp = self._stamp_settings()
+        while True:
+            await anyio.sleep(SETTINGS_POLL_SECONDS)
+            found = self._stamp_settings()
+            if found != stamp:
+                stamp = found
+                self.reload()
+
+    def _stamp_settings(self):
+        if self._path is None:
+            return None
+        try:
+            status = os.stat(self._path)
+        except OSError as error:
+            log_event(Event.SETTINGS_RELOADED, error=str(error))
+            return None
+        return status.st_mtime_ns, status.st_size
+
+    def reload(self):
+        """Read the settings file again; what cannot be read changes nothing."""
+        if self._path is None:
+            return
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as error:
+            log_event(Event.SETTINGS_RELOADED, error=str(error))
+            return
+        self.bounds = settings.bounds
+        self.life.drain_seconds = self.bounds.drain_ms / 1000
+        self.budget.terms = _terms_of(self.bounds)
+        log_event(Event.SETTINGS_RELOADED, error="")
+
+    # The server beside this node.
+
+    async def note_server(self, now):
+        """Act on a change of what is known of the server."""
+        state = self.life.state
+        if self.life.slots:
+            self.handover.apply_slots(self.life.slots)
+        if state is self._server_state:
+            return
+        previous, self._server_state = self._server_state, state
+        log_event(
+            Event.SERVER_STATE_CHANGED,
+            server=self.life.instance,
+            state=state.value,
+            previous=previous.value,
+            sequence=self.life.sequence,
+        )
+        accepting = self.life.is_ready and not self._leaving.is_set()
+        await self.datagrams.send(self.membership.set_accepting(accepting, now))
+
+    # Members and configuration.
+
+    async def greet(self, members):
+        """Take in records of members and tell them of this node."""
+        self.membership.merge(members, self.clock())
+        peers = self.membership.peers()
+        self.random.shuffle(peers)
+        await self.datagrams.send(self.membership.ask(peers[:GREETED_AT_MOST]))
+        self._follow_up()
+
+    def apply_policy(self):
+        """Put the limits of the configuration in force at the entrance."""
+        self.entrance.limits = self.policy.limits
+
+    def serve_call(self, call, reply):
+        """Take in a peer's call; return a handle for `cancel_call`."""
+        return self.handover.submit(call, reply)
+
+    def cancel_call(self, handle):
+        """End a peer's call."""
+        self.handover.cancel(handle)
+
+    def report_lost_peer(self, stream):
+        """Drop a stream that has ended."""
+        self.peers.forget(stream)
+        log_event(Event.PEER_LOST, peer=stream.peer.hex())
+
+    def report_refused_peer(self, peer, error):
+        """Log a peer that broke the protocol or does not hold the fleet's key."""
+        log_event(Event.PEER_REFUSED, peer=peer.hex(), error=str(error))
+
+    # Life cycle.
+
+    def dump_state(self):
+        """Return the whole state of the node's tables as plain values."""
+        return dump_edge_state(self)
+
+    def start_leaving(self):
+        """Begin a graceful stop; may be called more than once."""
+        if not self._leaving.is_set():
+            self.is_ready = False
+            log_event(Event.NODE_LEAVING, in_progress=self.in_progress)
+            self._leaving.set()
+
+    @property
+    def is_leaving(self):
+        """Whether a graceful stop has begun."""
+        return self._leaving.is_set()
+
+    @property
+    def in_progress(self):
+        """Requests and calls that are not yet finished here."""
+        return self.entrance.open_requests + self.handover.in_progress
+
+    async def _drain(self):
+        end = self.clock() + self.bounds.grace_seconds - EXIT_RESERVE_SECONDS
+        self.entrance.drain()
+        await self.datagrams.send(self.membership.leave(self.clock()))
+        await anyio.sleep(PEERS_GRACE_SECONDS)
+        self.handover.is_leaving = True
+        await self.meeting.leave()
+        await anyio.sleep(max(0.0, ENTRANCE_GRACE_SECONDS - PEERS_GRACE_SECONDS))
+        self.entrance.close_idle()
+        while self.clock() < end and (self.in_progress or self.entrance.connections):
+            await anyio.sleep(DRAIN_POLL_SECONDS)
+        await self.datagrams.send(self.membership.depart(self.clock()))
+
+
+def _terms_of(bounds):
+    return BudgetTerms(
+        bounds.repeat_ratio, bounds.repeat_extra, bounds.repeat_window_seconds
+    )
+
+
+def _log_malformed(status):
+    log_event(Event.REQUEST_MALFORMED, status=status)
--- /dev/null
+++ b/src/ragworthoist/edge/observing.py
@@ -0,0 +1,120 @@
+"""What the platform and operators may ask of a node: readiness, metrics, state."""
+
+import json
+
+from ragworthoist._outcomes import LATENCY_BOUNDS_SECONDS
+
+_TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
+_JSON = ((b"content-type", b"application/json"),)
+
+
+class Observer:
+    """Answers questions about one node.
+
+    Parameters
+    ----------
+    node : EdgeNode
+        The node whose tables are shown.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def answer_readiness(self, request):
+        """Say whether clients may be sent to this node."""
+        await request.respond(200 if self._node.is_ready else 503)
+
+    async def answer_metrics(self, request):
+        """Serve metrics as text, and the state of the tables as JSON."""
+        if request.target.startswith(b"/state"):
+            body = json.dumps(dump_edge_state(self._node)).encode()
+            await request.respond(200, _JSON, body)
+            return
+        if not request.target.startswith(b"/metrics"):
+            await request.respond(404)
+            return
+        # Loaded on the first question, so that a start does not wait for it.
+        from aioprometheus.formats import text
+
+        body = text.TextFormatter().marshal(collect_edge_metrics(self._node))
+        await request.respond(200, _TEXT, body)
+
+
+def dump_edge_state(node):
+    """Return the state of a node's tables as plain values."""
+    admission = node.handover.admission
+    now = node.clock()
+    return {
+        "instance": node.instance.hex(),
+        "service": node.settings.node.service,
+        "failure_domain": node.settings.node.failure_domain,
+        "ready": node.is_ready,
+        "leaving": node.is_leaving,
+        "uptime_seconds": round(now - node.started, 3),
+        "configuration": node.configuration.version,
+        "server": {
+            "id": node.life.instance,
+            "state": node.life.state.value,
+            "sequence": node.life.sequence,
+            "slots": node.life.slots,
+            "heard_seconds_ago": round(now - node.life.heard, 3),
+        },
+        "admission": {
+            "limit": admission.limiter.limit,
+            "in_flight": admission.in_flight,
+            "waiting": len(admission),
+            "service_time_seconds": round(admission.service_time, 4),
+        },
+        "members": [
+            {
+                "instance": member.instance.hex(),
+                "service": member.service,
+                "failure_domain": member.domain,
+                "address": f"{member.host}:{member.port}",
+                "state": member.state.name.lower(),
+                "accepting": member.accepting,
+            }
+            for member in node.membership.members.values()
+        ],
+        "peer_streams": len(node.peers),
+        "in_progress": node.in_progress,
+        "store_calls": dict(node.store.calls) if node.store else {},
+    }
+
+
+def collect_edge_metrics(node):
+    """Return an aioprometheus registry filled from the node's tables."""
+    from aioprometheus import Counter, Gauge, Registry
+
+    registry = Registry()
+    requests = Counter("ragworthoist_requests_total", "Requests by outcome")
+    latency = Counter("ragworthoist_completed_below_total", "Completed, by latency")
+    store = Counter("ragworthoist_store_calls_total", "Calls to the store by kind")
+    limit = Gauge("ragworthoist_limit", "Calls handed to the server at once")
+    in_flight = Gauge("ragworthoist_in_flight", "Calls running at the server")
+    waiting = Gauge("ragworthoist_waiting", "Calls waiting for the server")
+    version = Gauge("ragworthoist_configuration_version", "Version in force")
+    members = Gauge("ragworthoist_members", "Members by state")
+    for collector in (
+        requests, latency, store, limit, in_flight, waiting, version, members,
+    ):  # fmt: skip
+        registry.register(collector)
+    for kind, rank, entry in node.outcomes.rows():
+        labels = {"kind": kind, "rank": str(rank)}
+        for (outcome, reason), count in entry.counts.items():
+            found = labels | {"outcome": outcome.label, "reason": reason.value}
+            requests.set(found, count)
+        total = 0
+        bounds = [*map(str, LATENCY_BOUNDS_SECONDS), "+Inf"]
+        for bound, count in zip(bounds, entry.latencies, strict=True):
+            total += count
+            latency.set(labels | {"le": bound}, total)
+    for kind, count in node.store.calls.items():
+        store.set({"kind": kind}, count)
+    limit.set({}, node.handover.admission.limiter.limit)
+    in_flight.set({}, node.handover.admission.in_flight)
+    waiting.set({}, len(node.handover.admission))
+    version.set({}, node.configuration.version)
+    for member in node.membership.members.values():
+        members.inc({"state": member.state.name.lower()})
+    return registry
--- a/src/ragworthoist/exceptions.py
+++ b/src/ragworthoist/exceptions.py
@@ -85,6 +85,14 @@
         super().__init__(f"store call {operation} answered with status {status}")
 
 
+class HistoryGoneError(StoreError):
+    """The store no longer holds the history that a watch asked for."""
+
+    def __init__(self, revision):
+        self.revision = revision
+        super().__init__(f"the store's history after revision {revision} is gone")
+
+
 class ProtocolError(RagworthoistError):
     """A peer sent something that the protocol between nodes does not allow."""
 
@@ -125,6 +133,59 @@
         super().__init__("the caller left before its request was complete")
 
 
+class BodyCutError(RequestError):
+    """A body that is being streamed ended before it was complete."""
+
+    def __init__(self):
+        super().__init__("the body ended before it was complete")
+
+
+class ExchangeError(RagworthoistError):
+    """A request over HTTP got no usable answer."""
+
+
+class ConnectFailedError(ExchangeError):
+    """No connection could be made, so nothing was sent.
+
+    Parameters
+    ----------
+    address : str
+        Where the connection was to go.
+    cause : str
+        What the transport reported.
+    """
+
+    def __init__(self, address, cause):
+        self.address = address
+        self.cause = cause
+        super().__init__(f"no connection to {address}: {cause}")
+
+
+class ConnectionLostError(ExchangeError):
+    """The connection ended before the answer; the request may have run."""
+
+    def __init__(self, cause):
+        self.cause = cause
+        super().__init__(f"connection lost before the answer: {cause}")
+
+
+class GarbledResponseError(ExchangeError):
+    """The answer breaks the protocol; the request may have run."""
+
+    def __init__(self, cause):
+        self.cause = cause
+        super().__init__(f"answer breaks the protocol: {cause}")
+
+
+class ReportError(RagworthoistError):
+    """A report of a backend server about itself cannot be read."""
+
+    def __init__(self, field, found):
+        self.field = field
+        self.found = found
+        super().__init__(f"report field {field}: found {found!r}")
+
+
 class TicketError(RagworthoistError):
     """A one-time ticket cannot be used."""
 
--- /dev/null
+++ b/src/ragworthoist/net/bodies.py
@@ -0,0 +1,115 @@
+"""Bodies on their way from one connection to another."""
+
+import asyncio
+from collections import deque
+
+from ragworthoist.exceptions import BodyCutError
+
+HIGH_WATER_BYTES = 65_536
+
+
+class BodyPipe:
+    """Bytes of one body, passed on as they arrive and bounded in memory.
+
+    The writer calls `feed`, then `end` or `cut`. The single reader awaits `read`
+    until it returns nothing. `on_read` is called with the number of bytes that the
+    reader has taken, `on_discard` when it wants no more.
+    """
+
+    __slots__ = ("_parts", "_size", "_ended", "_cut", "_waiter", "_on_read",
+                 "_on_discard", "_discarded", "_on_close", "touched")  # fmt: skip
+
+    def __init__(self, on_read=None, on_discard=None, on_close=None):
+        self._parts = deque()
+        self._size = 0
+        self._ended = False
+        self._cut = False
+        self._waiter = None
+        self._on_read = on_read
+        self._on_discard = on_discard
+        self._on_close = on_close
+        self._discarded = False
+        self.touched = False
+
+    @property
+    def is_full(self):
+        """Whether the writer should pause."""
+        return self._size >= HIGH_WATER_BYTES
+
+    @property
+    def is_complete(self):
+        """Whether the writer has ended the body."""
+        return self._ended
+
+    def feed(self, data):
+        """Take in `data`."""
+        if self._discarded:
+            if self._on_read is not None:
+                self._on_read(len(data))
+            return
+        self._parts.append(data)
+        self._size += len(data)
+        self._wake()
+
+    def end(self):
+        """Note that the body is complete."""
+        if not (self._ended or self._cut):
+            self._ended = True
+            self._close()
+
+    def cut(self):
+        """Note that the rest of the body will never come."""
+        if not (self._ended or self._cut):
+            self._cut = True
+            self._close()
+
+    def discard(self):
+        """Drop what is left; the reader has gone."""
+        if self._discarded:
+            return
+        self._discarded = True
+        dropped, self._size = self._size, 0
+        self._parts.clear()
+        if dropped and self._on_read is not None:
+            self._on_read(dropped)
+        if not (self._ended or self._cut) and self._on_discard is not None:
+            self._on_discard()
+
+    def take_all(self):
+        """Return what has arrived so far, without waiting."""
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._size = 0
+        return data
+
+    async def read(self):
+        """Return the next bytes, empty at the end.
+
+        Raises
+        ------
+        BodyCutError
+            If the body ended early.
+        """
+        self.touched = True
+        while not self._parts:
+            if self._cut:
+                raise BodyCutError
+            if self._ended or self._discarded:
+                return b""
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        data = self._parts.popleft()
+        self._size -= len(data)
+        if self._on_read is not None:
+            self._on_read(len(data))
+        return data
+
+    def _wake(self):
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _close(self):
+        self._wake()
+        if self._on_close is not None:
+            self._on_close()
+            self._on_close = None
--- a/src/ragworthoist/net/frames.py
+++ b/src/ragworthoist/net/frames.py
@@ -19,6 +19,8 @@
 CHUNK_BYTES = 32_768
 WINDOW_BYTES = 8 * CHUNK_BYTES
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Stands for the length of a body that is streamed as it arrives.
+STREAMED = -1
 MAX_FRAME_BYTES = 256 * 1024
 MAX_DATAGRAM_BYTES = 1400
 DIGEST_BYTES = 16
@@ -40,11 +42,14 @@
     EXCHANGED = 9
     FETCH = 10
     FETCHED = 11
+    CUT = 12
+    CHECK = 13
+    CHECKED = 14
 
 
 def pack_call(call_id, call, remaining):
     """Return the frame of `call`, which has `remaining` seconds left."""
-    inline = call.body if len(call.body) <= CHUNK_BYTES else None
+    length, inline = _split_body(call.body)
     return [
         int(FrameKind.CALL),
         call_id,
@@ -62,7 +67,8 @@
         call.idempotent,
         call.repeat,
         call.ticket,
-        len(call.body),
+        call.aim,
+        length,
         inline,
     ]
 
@@ -93,6 +99,7 @@
             idempotent,
             repeat,
             ticket,
+            aim,
             length,
             inline,
         ) = frame
@@ -112,6 +119,7 @@
             idempotent=bool(idempotent),
             repeat=bool(repeat),
             ticket=bytes(ticket),
+            aim=max(float(aim), 0.001),
         )
     except (TypeError, ValueError) as error:
         raise FrameError("call", str(error)) from None
@@ -121,7 +129,7 @@
 
 def pack_answer(call_id, answer):
     """Return the frame of `answer`."""
-    inline = answer.body if len(answer.body) <= CHUNK_BYTES else None
+    length, inline = _split_body(answer.body)
     return [
         int(FrameKind.ANSWER),
         call_id,
@@ -132,7 +140,8 @@
         answer.unused,
         answer.retryable,
         answer.levels,
-        len(answer.body),
+        answer.load,
+        length,
         inline,
     ]
 
@@ -156,6 +165,7 @@
             unused,
             retryable,
             levels,
+            load,
             length,
             body,
         ) = frame
@@ -168,6 +178,7 @@
             unused=int(unused),
             retryable=bool(retryable),
             levels=[(str(kind), int(level)) for kind, level in levels],
+            load=float(load),
         )
     except (TypeError, ValueError) as error:
         raise FrameError("answer", str(error)) from None
@@ -175,7 +186,16 @@
     return answer, length, body is not None
 
 
+def _split_body(body):
+    """Return (length, inline part) of a body as they stand in a frame."""
+    if not isinstance(body, bytes):
+        return STREAMED, None
+    return len(body), body if len(body) <= CHUNK_BYTES else None
+
+
 def _check_length(length, inline):
+    if length == STREAMED and inline is None:
+        return
     if not isinstance(length, int) or not 0 <= length <= MAX_BODY_BYTES:
         raise FrameError("body length", length)
     if inline is not None and (not isinstance(inline, bytes) or len(inline) != length):
--- /dev/null
+++ b/src/ragworthoist/net/listener.py
@@ -0,0 +1,452 @@
+"""An HTTP/1.1 server on httptools for the path of a request.
+
+Requests on one connection are handled side by side and answered in order. Bodies
+are streamed under flow control, and an answer that cannot be completed ends its
+connection, so that it never looks whole. uvicorn's protocol does neither; see
+docs/PLATFORM.md.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from http import HTTPStatus
+
+import httptools
+
+from ragworthoist.core.routes import RequestLimits
+from ragworthoist.exceptions import BodyCutError, CallerGoneError
+from ragworthoist.net.bodies import BodyPipe
+from ragworthoist.net.sockets import guard_socket
+
+BACKLOG = 1024
+# A client that sends more requests ahead than this waits for its answers.
+MAX_PIPELINED = 16
+SWEEP_SECONDS = 0.25
+IDLE_MARGIN_SECONDS = 0.5
+
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
+_FRAMING = frozenset(
+    {b"connection", b"content-length", b"keep-alive", b"transfer-encoding", b"upgrade"}
+)
+
+
+class Request:
+    """One request of a client, and the way to answer it.
+
+    `body` is the whole body where it is short and complete, else a `BodyPipe`.
+    """
+
+    __slots__ = ("_connection", "method", "target", "headers", "body", "keep_alive",
+                 "task", "turn", "has_responded", "is_complete", "pipe", "started",
+                 "expects_continue")  # fmt: skip
+
+    def __init__(self, connection, method, target, headers, keep_alive, started):
+        self._connection = connection
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = b""
+        self.keep_alive = keep_alive
+        self.started = started
+        self.task = None
+        self.turn = None
+        self.has_responded = False
+        self.is_complete = False
+        self.pipe = None
+        self.expects_continue = False
+
+    def find_header(self, name):
+        """Return the value of the header `name` (lower case), empty when absent."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return b""
+
+    async def respond(self, status, headers=(), body=b"", close=False):
+        """Send the answer once those before it are complete.
+
+        Parameters
+        ----------
+        headers : iterable of (bytes, bytes)
+            Headers that travel end to end.
+        body : bytes or BodyPipe
+            The body, streamed if it is a pipe.
+
+        Raises
+        ------
+        CallerGoneError
+            If the client has closed its connection.
+        """
+        await self._connection.respond(self, status, headers, body, close)
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, listener):
+        self._listener = listener
+        self._loop = listener.loop
+        self._transport = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests = deque()
+        self._current = None
+        self._url = []
+        self._headers = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._in_head = False
+        self._head_started = 0.0
+        self.last_active = 0.0
+        self._writable = None
+        self._reading = True
+        self._closing = False
+        self._refused = False
+        self._gone = False
+
+    # Transport callbacks.
+
+    def connection_made(self, transport):
+        self._transport = transport
+        guard_socket(transport.get_extra_info("socket"))
+        self.last_active = self._loop.time()
+        self._listener.connections.add(self)
+
+    def connection_lost(self, _error):
+        self._gone = True
+        self._listener.connections.discard(self)
+        self._resume_writer()
+        for request in list(self._requests):
+            self._abandon(request)
+        self._requests.clear()
+
+    def eof_received(self):
+        # A client that has closed its side does not wait for answers.
+        self._transport.abort()
+        return False
+
+    def data_received(self, data):
+        if self._refused or self._closing:
+            return
+        self.last_active = self._loop.time()
+        if not self._in_head and self._current is None:
+            self._head_started = self.last_active
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            if not self._refused:
+                self._refuse(400)
+        if self._in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > self._listener.limits.max_head_bytes:
+                self._refuse(431)
+        self._control_reading()
+
+    def pause_writing(self):
+        self._writable = self._loop.create_future()
+
+    def resume_writing(self):
+        self._resume_writer()
+
+    # Parser callbacks.
+
+    def on_message_begin(self):
+        self._in_head = True
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._url = []
+        self._headers = []
+
+    def on_url(self, url):
+        self._url.append(url)
+        self._count_head(len(url))
+
+    def on_header(self, name, value):
+        self._headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self):
+        self._in_head = False
+        if self._refused:
+            return
+        request = Request(
+            self,
+            self._parser.get_method().decode("latin1"),
+            b"".join(self._url),
+            self._headers,
+            self._parser.should_keep_alive(),
+            self._loop.time(),
+        )
+        self._current = request
+        declared = request.find_header(b"content-length")
+        if declared and int(declared) > self._listener.limits.max_body_bytes:
+            self._refuse(413)
+            return
+        request.pipe = BodyPipe(on_read=self._on_body_read)
+        request.expects_continue = (
+            request.find_header(b"expect").lower() == b"100-continue"
+        )
+        if request.expects_continue and not self._requests:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data):
+        request = self._current
+        if self._refused or request is None:
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > self._listener.limits.max_body_bytes:
+            request.pipe.cut()
+            self._refuse(413)
+            return
+        request.pipe.feed(data)
+        if request.pipe.is_full and request.task is None:
+            request.body = request.pipe
+            self._start(request)
+
+    def on_message_complete(self):
+        request, self._current = self._current, None
+        if self._refused or request is None:
+            return
+        request.is_complete = True
+        request.pipe.end()
+        if request.task is None:
+            request.body = request.pipe.take_all()
+            self._start(request)
+        elif request.has_responded:
+            self._finish(request)
+
+    # Answers.
+
+    async def respond(self, request, status, headers, body, close):
+        """Write the answer to `request` in its turn."""
+        if self._gone:
+            raise CallerGoneError
+        if self._requests[0] is not request:
+            request.turn = self._loop.create_future()
+            await request.turn
+        if self._gone:
+            raise CallerGoneError
+        is_last = len(self._requests) == 1
+        ends = close or not request.keep_alive
+        ends = ends or (self._listener.is_draining and is_last)
+        if not request.is_complete and request.pipe.is_full:
+            # The rest of a long body is not worth reading for the next request.
+            ends = ends or not self._listener.reads_on
+        is_piped = isinstance(body, BodyPipe)
+        parts = [b"HTTP/1.1 %d %s\r\n" % (status, _phrase(status))]
+        for name, value in headers:
+            if name not in _FRAMING:
+                parts.append(b"%s: %s\r\n" % (name, value))
+        if ends:
+            parts.append(b"connection: close\r\n")
+        has_body = request.method != "HEAD" and status not in (204, 304)
+        if is_piped and has_body:
+            parts.append(b"transfer-encoding: chunked\r\n\r\n")
+        elif status != 204:
+            parts.append(b"content-length: %d\r\n\r\n" % len(body))
+        else:
+            parts.append(b"\r\n")
+        if is_piped:
+            self._transport.write(b"".join(parts))
+            if has_body:
+                await self._write_piped(body)
+        else:
+            if has_body:
+                parts.append(body)
+            self._transport.write(b"".join(parts))
+        request.has_responded = True
+        request.pipe.discard()
+        if ends:
+            self._close_after(request)
+        elif request.is_complete:
+            self._finish(request)
+        self._control_reading()
+
+    async def _write_piped(self, body):
+        try:
+            while data := await body.read():
+                self._transport.write(b"%x\r\n" % len(data) + data + b"\r\n")
+                if self._writable is not None:
+                    await self._writable
+                if self._gone:
+                    raise CallerGoneError
+        except BodyCutError:
+            # Without its last chunk the answer is visibly incomplete.
+            self._transport.abort()
+            raise
+        self._transport.write(b"0\r\n\r\n")
+
+    def _start(self, request):
+        self._requests.append(request)
+        request.task = self._loop.create_task(self._listener.run_handler(request, self))
+
+    def fail(self, request):
+        """End the connection: `request` gets no answer or no whole one."""
+        if not (self._gone or self._closing or request.has_responded):
+            self._transport.abort()
+
+    def _finish(self, request):
+        self._requests.popleft()
+        if self._requests and self._requests[0].turn is not None:
+            turn = self._requests[0].turn
+            if not turn.done():
+                turn.set_result(None)
+        self.last_active = self._loop.time()
+        self._control_reading()
+
+    def _close_after(self, request):
+        self._closing = True
+        for other in list(self._requests)[1:]:
+            self._abandon(other)
+        self._transport.close()
+
+    def _abandon(self, request):
+        request.pipe.cut()
+        if request.turn is not None and not request.turn.done():
+            request.turn.set_result(None)
+        if not request.has_responded and request.task is not None:
+            request.task.cancel()
+
+    def _refuse(self, status):
+        """Answer a request that cannot be taken in, and end the connection."""
+        if self._refused:
+            return
+        self._refused = True
+        self._listener.report_refused(status)
+        self._loop.create_task(self._write_refusal(status))
+
+    async def _write_refusal(self, status):
+        while self._requests and not self._gone:
+            last = self._requests[-1].task
+            await asyncio.wait([last])
+            if self._requests and self._requests[-1].task is last:
+                break
+        if not self._gone:
+            head = b"HTTP/1.1 %d %s\r\n" % (status, _phrase(status))
+            self._transport.write(
+                head + b"connection: close\r\ncontent-length: 0\r\n\r\n"
+            )
+            self._transport.close()
+
+    # Flow and time.
+
+    def _count_head(self, count):
+        self._head_bytes += count
+        if self._head_bytes > self._listener.limits.max_head_bytes:
+            self._refuse(431)
+
+    def _on_body_read(self, _count):
+        self._control_reading()
+
+    def _control_reading(self):
+        if self._gone or self._transport.is_closing():
+            return
+        current = self._current
+        is_full = current is not None and current.pipe and current.pipe.is_full
+        wants = not is_full and len(self._requests) < MAX_PIPELINED
+        if wants != self._reading:
+            self._reading = wants
+            if wants:
+                self._transport.resume_reading()
+            else:
+                self._transport.pause_reading()
+
+    def _resume_writer(self):
+        writable, self._writable = self._writable, None
+        if writable is not None and not writable.done():
+            writable.set_result(None)
+
+    def check(self, now, limits, is_draining):
+        """Close the connection when the client takes too long."""
+        if self._closing or self._refused:
+            return
+        if self._in_head:
+            if now - self._head_started > limits.head_timeout:
+                self._refuse(408)
+        elif self._current is not None:
+            if self._reading and now - self.last_active > limits.idle_timeout:
+                self._transport.abort()
+        elif not self._requests:
+            idle = limits.idle_timeout + IDLE_MARGIN_SECONDS
+            if is_draining or now - self.last_active > idle:
+                self._transport.close()
+
+
+class Listener:
+    """Accepts connections at one address and hands their requests to `handle`.
+
+    Parameters
+    ----------
+    handle : callable
+        Coroutine function that takes a `Request` and responds to it. When it
+        returns without a response, the connection is cut.
+    address : tuple
+        (host, port) to listen on.
+    report_refused : callable, optional
+        Called with the status of a request that could not be taken in.
+    """
+
+    def __init__(self, handle, address, report_refused=lambda status: None):
+        self._handle = handle
+        self._address = address
+        self._server = None
+        self._sweeper = None
+        self.report_refused = report_refused
+        self.limits = RequestLimits()
+        self.connections = set()
+        self.is_draining = False
+        self.closes_idle = False
+        self.reads_on = True
+        self.loop = None
+
+    async def __aenter__(self):
+        self.loop = asyncio.get_running_loop()
+        host, port = self._address
+        self._server = await self.loop.create_server(
+            lambda: _Connection(self),
+            host,
+            port,
+            backlog=BACKLOG,
+            family=socket.AF_INET,
+            reuse_address=True,
+        )
+        self._sweeper = self.loop.create_task(self._sweep())
+        return self
+
+    async def __aexit__(self, *_exception):
+        self._sweeper.cancel()
+        self._server.close()
+        for connection in list(self.connections):
+            connection._transport.close()
+
+    @property
+    def open_requests(self):
+        """Number of requests that have no whole answer yet."""
+        return sum(len(connection._requests) for connection in self.connections)
+
+    def drain(self):
+        """Ask clients to close: answers end their connections from now on."""
+        self.is_draining = True
+
+    def close_idle(self):
+        """Close connections that have no request in progress."""
+        self.closes_idle = True
+
+    async def run_handler(self, request, connection):
+        """Run the handler of one request and contain its end."""
+        try:
+            await self._handle(request)
+        except (CallerGoneError, BodyCutError, asyncio.CancelledError):
+            pass
+        finally:
+            connection.fail(request)
+
+    async def _sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = self.loop.time()
+            for connection in list(self.connections):
+                connection.check(now, self.limits, self.closes_idle)
+
+
+def _phrase(status):
+    return _REASONS.get(status, "Unknown").encode()
--- a/src/ragworthoist/net/peers.py
+++ b/src/ragworthoist/net/peers.py
@@ -1,9 +1,11 @@
 """The streams of one node: opened lazily, one for each peer."""
 
 import anyio
+from anyio.abc import SocketAttribute
 
 from ragworthoist.core.entities import Reason, refuse
 from ragworthoist.events import Event, log_event
+from ragworthoist.net.sockets import guard_socket
 from ragworthoist.net.streams import PeerStream
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -30,6 +32,7 @@
         self._host = host
         self._clock = clock
         self._streams = {}
+        self._all = set()
         self._opening = {}
         self._failed = {}
         self._tasks = None
@@ -48,7 +51,7 @@
 
     async def stream_to(self, member):
         """Return a stream to `member`, or None when it cannot be reached."""
-        stream = self._streams.get(member.instance)
+        stream = self._usable(member.instance)
         if stream is not None:
             return stream
         if self._failed.get(member.instance, 0.0) > self._clock():
@@ -58,7 +61,7 @@
             opening = self._opening[member.instance] = anyio.Event()
             self._tasks.start_soon(self._open, member, opening)
         await opening.wait()
-        return self._streams.get(member.instance)
+        return self._usable(member.instance)
 
     async def open_to(self, member):
         """Return a stream to the address of `member`, whoever answers there."""
@@ -70,7 +73,7 @@
 
     async def call(self, member, call):
         """Send `call` to `member` and return the `Answer`."""
-        stream = self._streams.get(member.instance)
+        stream = self._usable(member.instance)
         if stream is None:
             with anyio.move_on_after(call.deadline - self._clock()):
                 stream = await self.stream_to(member)
@@ -80,6 +83,7 @@
 
     def forget(self, stream):
         """Drop a stream that has ended."""
+        self._all.discard(stream)
         if self._streams.get(stream.peer) is stream:
             del self._streams[stream.peer]
 
@@ -93,10 +97,21 @@
         now = self._clock()
         self._failed = {i: t for i, t in self._failed.items() if t > now}
 
+    def check(self, now):
+        """Ask silent peers for a sign of life."""
+        for stream in list(self._all):
+            stream.check(now)
+
     @property
     def calls_in_progress(self):
         """Calls without a whole answer on all streams."""
-        return sum(stream.calls_in_progress for stream in self._streams.values())
+        return sum(stream.calls_in_progress for stream in self._all)
+
+    def _usable(self, instance):
+        stream = self._streams.get(instance)
+        if stream is None or stream.closed or stream.is_doubtful:
+            return None
+        return stream
 
     async def _open(self, member, opening):
         try:
@@ -105,7 +120,7 @@
                 if stream is not None and stream.peer != member.instance:
                     stream.close()
         finally:
-            if member.instance not in self._streams:
+            if self._usable(member.instance) is None:
                 pause_end = self._clock() + RECONNECT_PAUSE_SECONDS
                 self._failed[member.instance] = pause_end
             del self._opening[member.instance]
@@ -114,6 +129,7 @@
     async def _connect(self, address):
         try:
             transport = await anyio.connect_tcp(*address)
+            guard_socket(transport.extra(SocketAttribute.raw_socket))
             stream = PeerStream(transport, self._host, opened=True)
             return await self._tasks.start(self._run, stream)
         except (OSError, RuntimeError):
@@ -123,9 +139,12 @@
         await stream.run(_Registration(self, stream, task_status))
 
     async def _accept(self, transport):
+        guard_socket(transport.extra(SocketAttribute.raw_socket))
         await self._run(PeerStream(transport, self._host, opened=False))
 
     def register(self, stream):
         """Enter a stream whose handshake is done."""
-        self._streams.setdefault(stream.peer, stream)
+        self._all.add(stream)
+        if self._usable(stream.peer) is None:
+            self._streams[stream.peer] = stream
         log_event(Event.PEER_CONNECTED, peer=stream.peer.hex())
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -12,13 +12,15 @@
 import msgpack
 
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
-from ragworthoist.exceptions import AuthenticationError, FrameError
+from ragworthoist.exceptions import AuthenticationError, BodyCutError, FrameError
+from ragworthoist.net.bodies import BodyPipe
 from ragworthoist.net.frames import (
     CHUNK_BYTES,
     MAX_BODY_BYTES,
     MAX_FRAME_BYTES,
     NONCE_BYTES,
     PROTOCOL_VERSION,
+    STREAMED,
     WINDOW_BYTES,
     FrameKind,
     pack_answer,
@@ -32,6 +34,12 @@
 VERDICT_GRACE_SECONDS = 0.05
 RECEIVE_BYTES = 65_536
 EXCHANGE_TIMEOUT_SECONDS = 5.0
+# A healthy peer answers a check within its link's round trip and one turn of its
+# event loop; a multiple of that marks the stream, a longer silence ends it.
+CHECK_AFTER_SECONDS = 0.25
+CHECK_IDLE_SECONDS = 3.0
+DOUBT_AFTER_SECONDS = 0.3
+SILENT_AFTER_SECONDS = 1.5
 
 
 @dataclass(slots=True)
@@ -40,7 +48,7 @@
 
     event: anyio.Event
     answer: object = None
-    body: bytearray = field(default_factory=bytearray)
+    body: object = field(default_factory=bytearray)
     length: int = 0
 
 
@@ -50,7 +58,7 @@
 
     call: object
     length: int
-    body: bytearray = field(default_factory=bytearray)
+    body: object = field(default_factory=bytearray)
     handle: object = None
 
 
@@ -71,7 +79,8 @@
         The connected transport.
     host : object
         The node, which supplies `instance`, `key`, `clock`, `serve_call`,
-        `cancel_call`, `exchange_members` and `fetch_configuration`.
+        `cancel_call`, `exchange_members` and `fetch_configuration`. A host with
+        `streams_bodies` gets long bodies as a `BodyPipe`, others as whole bytes.
     opened : bool
         Whether this side opened the connection.
     """
@@ -88,6 +97,10 @@
         self._inbound = {}
         self._windows = {}
         self._next_id = 1 if opened else 2
+        self._streams_bodies = getattr(host, "streams_bodies", False)
+        self._receiving = {}
+        self._last_heard = 0.0
+        self._checked_at = None
         self._finishing = False
         self.closed = False
         self.peer = b""
@@ -128,11 +141,12 @@
         self._send(pack_call(call_id, call, remaining))
         try:
             with anyio.move_on_after(remaining + VERDICT_GRACE_SECONDS):
-                if len(call.body) > CHUNK_BYTES:
-                    await self._send_body(call_id, call.body)
+                if not _is_inline(call.body):
+                    self.tasks.start_soon(self._send_call_body, call_id, call.body)
                 await pending.event.wait()
         finally:
             self._pending.pop(call_id, None)
+            self._stop_sending(call_id)
             if not pending.event.is_set():
                 self._send([int(FrameKind.CANCEL), call_id])
         if not pending.event.is_set():
@@ -155,7 +169,29 @@
     @property
     def calls_in_progress(self):
         """Number of calls without a whole answer, and of frames not yet written."""
-        return len(self._pending) + len(self._inbound) + len(self._out)
+        waiting = len(self._pending) + len(self._receiving)
+        return waiting + len(self._inbound) + len(self._out)
+
+    @property
+    def is_doubtful(self):
+        """Whether the peer has left a check unanswered for a while."""
+        checked = self._checked_at
+        return (
+            checked is not None and self._host.clock() - checked > DOUBT_AFTER_SECONDS
+        )
+
+    def check(self, now):
+        """Ask a silent peer for a sign of life, and end the stream without one."""
+        if self.closed or self.tasks is None:
+            return
+        if self._checked_at is not None:
+            if now - self._checked_at > SILENT_AFTER_SECONDS:
+                self.close()
+            return
+        after = CHECK_AFTER_SECONDS if self._pending else CHECK_IDLE_SECONDS
+        if now - self._last_heard > after:
+            self._checked_at = now
+            self._send([int(FrameKind.CHECK), 0, None])
 
     async def _ask(self, kind, content):
         call_id = self._take_id()
@@ -201,6 +237,8 @@
             for frame in self._unpacker:
                 self._dispatch(frame)
             self._unpacker.feed(await self._transport.receive(RECEIVE_BYTES))
+            self._last_heard = self._host.clock()
+            self._checked_at = None
 
     async def _write(self):
         while True:
@@ -217,20 +255,37 @@
         self._out.append(self._packer.pack(frame))
         self._wake.set()
 
+    async def _send_call_body(self, call_id, body):
+        try:
+            await self._send_body(call_id, body)
+        except BodyCutError:
+            # The caller has gone, and cancels the call itself.
+            return
+
     async def _send_body(self, call_id, body):
         window = self._windows[call_id] = _Window()
+        total = 0
         try:
-            view = memoryview(body)
-            for start in range(0, len(body), CHUNK_BYTES):
-                chunk = view[start : start + CHUNK_BYTES]
-                while window.credit < len(chunk):
-                    window.event = anyio.Event()
-                    await window.event.wait()
-                window.credit -= len(chunk)
-                self._send([int(FrameKind.CHUNK), call_id, bytes(chunk)])
-            self._send([int(FrameKind.END), call_id, len(body)])
+            async for part in _parts_of(body):
+                for chunk in _chunks_of(part):
+                    while window.credit < len(chunk):
+                        window.event = anyio.Event()
+                        await window.event.wait()
+                    if self._windows.get(call_id) is not window:
+                        return
+                    window.credit -= len(chunk)
+                    total += len(chunk)
+                    self._send([int(FrameKind.CHUNK), call_id, bytes(chunk)])
+            self._send([int(FrameKind.END), call_id, total])
         finally:
-            del self._windows[call_id]
+            if self._windows.get(call_id) is window:
+                del self._windows[call_id]
+
+    def _stop_sending(self, call_id):
+        window = self._windows.pop(call_id, None)
+        if window is not None:
+            window.credit = MAX_BODY_BYTES
+            window.event.set()
 
     def _dispatch(self, frame):
         try:
@@ -253,9 +308,30 @@
             raise FrameError("call id", call_id)
         call, length, complete = unpack_call(frame, self._host.clock())
         inbound = self._inbound[call_id] = _Inbound(call, length)
-        if complete:
+        if not complete:
+            self._await_body(call_id, inbound, call)
+        if complete or self._streams_bodies:
             self._serve(call_id, inbound)
 
+    def _await_body(self, call_id, holder, owner):
+        """Prepare `holder` for chunks that belong to the call or answer `owner`."""
+        if not self._streams_bodies:
+            if holder.length == STREAMED:
+                raise FrameError("body length", STREAMED)
+            return
+
+        def credit(count):
+            self._send([int(FrameKind.CREDIT), call_id, count])
+
+        def stop():
+            self._receiving.pop(call_id, None)
+            self._send([int(FrameKind.CANCEL), call_id])
+
+        is_own = self._is_own(call_id)
+        owner.body = holder.body = BodyPipe(credit, stop if is_own else None)
+        if is_own:
+            self._receiving[call_id] = holder
+
     def _serve(self, call_id, inbound):
         def reply(answer):
             self._reply(call_id, answer)
@@ -268,14 +344,19 @@
         if self.closed or call_id not in self._inbound:
             return
         self._send(pack_answer(call_id, answer))
-        if len(answer.body) > CHUNK_BYTES:
-            self.tasks.start_soon(self._finish_reply, call_id, answer.body)
-        else:
+        if _is_inline(answer.body):
             del self._inbound[call_id]
+        else:
+            self.tasks.start_soon(self._finish_reply, call_id, answer.body)
 
     async def _finish_reply(self, call_id, body):
-        await self._send_body(call_id, body)
+        try:
+            await self._send_body(call_id, body)
+        except BodyCutError:
+            self._send([int(FrameKind.CUT), call_id, None])
         self._inbound.pop(call_id, None)
+        if isinstance(body, BodyPipe):
+            body.discard()
 
     def _on_answer(self, call_id, frame):
         pending = self._pending.get(call_id)
@@ -284,7 +365,9 @@
         answer, length, complete = unpack_answer(frame)
         pending.answer = answer
         pending.length = length
-        if complete:
+        if not complete:
+            self._await_body(call_id, pending, answer)
+        if complete or self._streams_bodies:
             pending.event.set()
 
     def _on_chunk(self, call_id, frame):
@@ -292,6 +375,9 @@
         if holder is None:
             self._send([int(FrameKind.CREDIT), call_id, len(frame[2])])
             return
+        if isinstance(holder.body, BodyPipe):
+            holder.body.feed(frame[2])
+            return
         holder.body += frame[2]
         if len(holder.body) > min(holder.length, MAX_BODY_BYTES):
             raise FrameError("chunk", len(holder.body))
@@ -301,6 +387,10 @@
         holder = self._holder(call_id)
         if holder is None:
             return
+        if isinstance(holder.body, BodyPipe):
+            self._receiving.pop(call_id, None)
+            holder.body.end()
+            return
         if not frame[2] == holder.length == len(holder.body):
             raise FrameError("end", frame[2])
         if self._is_own(call_id):
@@ -311,8 +401,9 @@
             self._serve(call_id, holder)
 
     def _holder(self, call_id):
-        table = self._pending if self._is_own(call_id) else self._inbound
-        return table.get(call_id)
+        if not self._is_own(call_id):
+            return self._inbound.get(call_id)
+        return self._receiving.get(call_id) or self._pending.get(call_id)
 
     def _on_credit(self, call_id, frame):
         if not isinstance(frame[2], int):
@@ -324,9 +415,25 @@
 
     def _on_cancel(self, call_id, _frame):
         inbound = self._inbound.pop(call_id, None)
-        if inbound is not None and inbound.handle is not None:
+        self._stop_sending(call_id)
+        if inbound is None:
+            return
+        if isinstance(inbound.body, BodyPipe):
+            inbound.body.cut()
+        if inbound.handle is not None:
             self._host.cancel_call(inbound.handle)
 
+    def _on_cut(self, call_id, _frame):
+        holder = self._receiving.pop(call_id, None)
+        if holder is not None:
+            holder.body.cut()
+
+    def _on_check(self, call_id, _frame):
+        self._send([int(FrameKind.CHECKED), call_id, None])
+
+    def _on_checked(self, _call_id, _frame):
+        """Do nothing: any frame is the sign of life that was asked for."""
+
     def _on_exchange(self, call_id, frame):
         records = self._host.exchange_members(frame[2])
         self._send([int(FrameKind.EXCHANGED), call_id, records])
@@ -346,7 +453,12 @@
         for pending in list(self._pending.values()):
             pending.answer = Answer(Outcome.UNKNOWN, Reason.PEER_LOST)
             pending.event.set()
+        for holder in list(self._receiving.values()):
+            holder.body.cut()
+        self._receiving.clear()
         for inbound in list(self._inbound.values()):
+            if isinstance(inbound.body, BodyPipe):
+                inbound.body.cut()
             if inbound.handle is not None:
                 self._host.cancel_call(inbound.handle)
         self._inbound.clear()
@@ -368,4 +480,25 @@
         FrameKind.EXCHANGED: _on_result,
         FrameKind.FETCH: _on_fetch,
         FrameKind.FETCHED: _on_result,
+        FrameKind.CUT: _on_cut,
+        FrameKind.CHECK: _on_check,
+        FrameKind.CHECKED: _on_checked,
     }
+
+
+def _is_inline(body):
+    return isinstance(body, bytes) and len(body) <= CHUNK_BYTES
+
+
+async def _parts_of(body):
+    if not isinstance(body, BodyPipe):
+        yield body
+        return
+    while part := await body.read():
+        yield part
+
+
+def _chunks_of(part):
+    view = memoryview(part)
+    for start in range(0, len(part), CHUNK_BYTES):
+        yield view[start : start + CHUNK_BYTES]
--- /dev/null
+++ b/src/ragworthoist/platform/store.py
@@ -0,0 +1,168 @@
+"""The platform's key-value store, spoken to over its HTTP interface."""
+
+import base64
+import json
+from urllib.parse import quote, urlsplit
+
+import anyio
+
+from ragworthoist.exceptions import (
+    ExchangeError,
+    HistoryGoneError,
+    StoreResponseError,
+    StoreUnavailableError,
+)
+from ragworthoist.net.client import HttpClient
+from ragworthoist.store import StoredValue, stores
+
+# A watch that waits longer is as cheap for the store but leaves a silent
+# connection unnoticed for as long.
+WATCH_WAIT_MS = 15_000
+WATCH_GRACE_SECONDS = 2.0
+_MOST_PAGES = 1000
+
+
+@stores.register("platform")
+class PlatformStore:
+    """A client of the platform's store.
+
+    Parameters
+    ----------
+    settings : StoreSettings
+        Address and timeout.
+
+    Raises
+    ------
+    StoreUnavailableError
+        From every call that got no answer; a write may then have taken effect.
+    HistoryGoneError
+        From a watch whose revisions the store no longer holds.
+    StoreResponseError
+        From every call that was answered against the protocol.
+    """
+
+    def __init__(self, settings):
+        parts = urlsplit(settings.url)
+        self._host = parts.netloc.encode()
+        self._timeout = settings.timeout_ms / 1000
+        self._client = HttpClient((parts.hostname, parts.port))
+        self.calls = {}
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_exception):
+        self._client.close()
+
+    async def get(self, key):
+        """Return the `StoredValue` under `key`, None when there is none."""
+        status, found = await self._call("get", "GET", f"/kv-key?key={quote(key)}")
+        if status == 404:
+            return None
+        return _decode_item(found)
+
+    async def list(self, prefix):
+        """Return the values of all keys that start with `prefix`."""
+        items = []
+        after = ""
+        for _ in range(_MOST_PAGES):
+            path = f"/kv-range?pathPrefix={quote(prefix)}"
+            if after:
+                path += f"&after={quote(after)}"
+            _, found = await self._call("list", "GET", path)
+            items += [_decode_item(item) for item in found.get("items", [])]
+            if not found.get("hasMore") or not found["items"]:
+                break
+            after = found["items"][-1]["key"]
+        return items
+
+    async def put(self, key, value, lease):
+        """Write `value` for as long as `lease` lasts."""
+        put = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "leaseId": lease,
+        }
+        body = {"expect": [], "puts": [put], "deletes": []}
+        status, _ = await self._call("put", "POST", "/kv-txn", body)
+        if status != 200:
+            raise StoreResponseError("put", status)
+
+    async def grant_lease(self, seconds):
+        """Return the id of a new lease of `seconds`."""
+        body = {"ttlMs": int(seconds * 1000)}
+        _, found = await self._call("lease", "POST", "/kv-lease", body)
+        return found["leaseId"]
+
+    async def keep_lease(self, lease):
+        """Extend `lease`; return False when it has lapsed."""
+        status, _ = await self._call("keep", "POST", f"/kv-keep/{lease}")
+        return status == 200
+
+    async def end_lease(self, lease):
+        """End `lease` and remove its keys."""
+        await self._call("end", "DELETE", f"/kv-lease-end/{lease}")
+
+    async def watch(self, key, revision):
+        """Yield each `StoredValue` of `key` written at or after `revision`."""
+        after = revision - 1
+        while True:
+            path = f"/kv-watch?pathPrefix={quote(key)}&after={after}"
+            path += f"&waitMs={WATCH_WAIT_MS}"
+            patience = WATCH_WAIT_MS / 1000 + WATCH_GRACE_SECONDS
+            status, found = await self._call("watch", "GET", path, patience=patience)
+            if status == 410:
+                raise HistoryGoneError(after)
+            for event in found.get("events", []):
+                if event.get("key") == key and "value" in event:
+                    yield _decode_item(event)
+            # "at" is the store's revision up to which events were looked for.
+            after = found["at"]
+
+    async def _call(self, operation, method, path, body=None, patience=None):
+        self.calls[operation] = self.calls.get(operation, 0) + 1
+        raw = b"" if body is None else json.dumps(body).encode()
+        head = b"%s %s HTTP/1.1\r\nhost: %s\r\n" % (
+            method.encode(),
+            path.encode(),
+            self._host,
+        )
+        if method != "GET":
+            head += b"content-type: application/json\r\n"
+            head += b"content-length: %d\r\n" % len(raw)
+        try:
+            with anyio.fail_after(patience or self._timeout):
+                response = await self._client.send(head + b"\r\n", raw)
+                content = response.body
+                if not isinstance(content, bytes):
+                    content = await _read_all(content)
+        except TimeoutError:
+            # Other calls on kept connections may hang as well.
+            self._client.close_idle()
+            raise StoreUnavailableError(operation, "no answer in time") from None
+        except ExchangeError as error:
+            raise StoreUnavailableError(operation, str(error)) from None
+        status = response.status
+        if status in (429, 500, 502, 503, 504):
+            raise StoreUnavailableError(operation, f"status {status}")
+        if status not in (200, 404, 410, 412):
+            raise StoreResponseError(operation, status)
+        try:
+            return status, json.loads(content) if content else {}
+        except ValueError:
+            raise StoreResponseError(operation, status) from None
+
+
+async def _read_all(pipe):
+    parts = []
+    while part := await pipe.read():
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _decode_item(item):
+    try:
+        value = base64.b64decode(item.get("value", ""))
+        return StoredValue(item["key"], value, int(item["revision"]))
+    except (KeyError, TypeError, ValueError):
+        raise StoreResponseError("decode", 200) from None
--- a/src/ragworthoist/store/__init__.py
+++ b/src/ragworthoist/store/__init__.py
@@ -21,6 +21,9 @@
 
 def open_store(settings):
     """Return the store that `settings` (a `StoreSettings`) names, not yet entered."""
-    from ragworthoist.store import etcd  # noqa: F401  registers itself
+    if settings.protocol == "platform":
+        from ragworthoist.platform import store  # noqa: F401  registers itself
+    else:
+        from ragworthoist.store import etcd  # noqa: F401  registers itself
 
     return stores.get(settings.protocol)(settings)
