--- a/src/ragworthoist/_commands.py
+++ b/src/ragworthoist/_commands.py
@@ -20,6 +20,7 @@
 from ragworthoist._document import validate_document
 from ragworthoist._registry import Registry
 from ragworthoist._settings import load_settings
+from ragworthoist.events import add_gate
 from ragworthoist.exceptions import (
     ConflictError,
     DocumentError,
@@ -85,7 +86,9 @@
     elif loaded.edge == "attempts":
         from ragworthoist._logs import LogWriter
 
-        eliot.add_destinations(LogWriter(sys.stdout.fileno(), loaded.log))
+        writer = LogWriter(sys.stdout.fileno(), loaded.log)
+        add_gate(writer.admits)
+        eliot.add_destinations(writer)
     else:
         eliot.to_file(sys.stderr)
     make_node = edges.get(loaded.edge)
--- a/src/ragworthoist/_logs.py
+++ b/src/ragworthoist/_logs.py
@@ -9,14 +9,15 @@
 import os
 import time
 
-# Part of the rates that only events above `ROUTINE` may use.
+from ragworthoist.events import ROUTINE_EVENTS, Event
+
+# Part of the rates that only events other than routine ones may use.
 RESERVED_SHARE = 0.5
 PERIOD_SECONDS = 1.0
-_ROUTINE_TYPES = frozenset({"ragworthoist:request_served", "ragworthoist:call_handed"})
 
 
 class LogWriter:
-    """An eliot destination on a file descriptor.
+    """An eliot destination on a file descriptor, with a gate for events.
 
     Parameters
     ----------
@@ -38,20 +39,22 @@
         self.left_out_total = 0
         os.set_blocking(descriptor, False)
 
-    def __call__(self, message):
-        """Write one eliot message, or count it as left out."""
+    def admits(self, event):
+        """Whether the rates allow a line for `event`; counts it if they do not."""
         now = self._clock()
         if now >= self._period_end:
             self._start_period(now)
-        share = 1.0
-        if message.get("message_type") in _ROUTINE_TYPES:
-            share = 1.0 - RESERVED_SHARE
+        share = 1.0 - RESERVED_SHARE if event in ROUTINE_EVENTS else 1.0
         if (
             self._lines >= share * self._lines_per_second
             or self._bytes >= share * self._bytes_per_second
         ):
             self._leave_out()
-            return
+            return False
+        return True
+
+    def __call__(self, message):
+        """Write one eliot message, or count it as left out."""
         self._write(message)
 
     def _start_period(self, now):
@@ -62,7 +65,7 @@
             self._write(
                 {
                     "message_type": "ragworthoist:log_left_out",
-                    "number": 901,
+                    "number": int(Event.LOG_LEFT_OUT),
                     "timestamp": time.time(),
                     "count": left_out,
                 }
--- a/src/ragworthoist/core/membership.py
+++ b/src/ragworthoist/core/membership.py
@@ -246,6 +246,12 @@
         own = self.node.instance
         return [m for m in self.members.values() if m.is_present and m.instance != own]
 
+    def list_unheard(self):
+        """Return the present members that have sent nothing to this node yet."""
+        return [
+            member for member in self.peers() if member.instance not in self.versions
+        ]
+
     def snapshot(self):
         """Return records of all members, for a full exchange."""
         return [member.pack() for member in self.members.values()]
@@ -365,8 +371,9 @@
         matches = message.target in (b"", self.node.instance)
         kind = MessageKind.ACK if matches else MessageKind.MISMATCH
         reply = self._message(kind, message.sender, message.sequence)
+        # Whoever asks may hold an old record of this node.
+        reply.updates.insert(0, self.node)
         if not matches:
-            reply.updates.append(self.node)
             reply.relay = [message.target]
         out.append((reply, address))
 
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -33,8 +33,9 @@
 TICK_SECONDS = 0.02
 CHECK_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 2.0
-# A node that has met nobody serves its own clients after this time.
-MEETING_PATIENCE_SECONDS = 3.0
+# A node that has not met all others serves its own clients after this time: a
+# second start of all machines then still ends well before clients give up.
+MEETING_PATIENCE_SECONDS = 2.0
 # Clients stop coming after two unanswered questions, asked once a second.
 ENTRANCE_GRACE_SECONDS = 2.6
 PEERS_GRACE_SECONDS = 1.0
@@ -165,8 +166,10 @@
     def _may_be_ready(self, now):
         if self.policy is None or self._leaving.is_set():
             return False
-        waited = now - self.started
-        return self.meeting.has_met or waited > MEETING_PATIENCE_SECONDS
+        if now - self.started > MEETING_PATIENCE_SECONDS:
+            return True
+        # Records in the store may be old: what a node takes is known once it answers.
+        return self.meeting.has_met and not self.membership.list_unheard()
 
     async def _poll_settings(self):
         stamp = self._stamp_settings()
--- a/src/ragworthoist/events.py
+++ b/src/ragworthoist/events.py
@@ -45,6 +45,19 @@
     LOG_LEFT_OUT = 901
 
 
+# Events of requests that went well; under load they give way to all others.
+ROUTINE_EVENTS = frozenset({Event.REQUEST_SERVED, Event.CALL_HANDED})
+
+_gates = []
+
+
+def add_gate(gate):
+    """Have `gate(event)` decide whether an event is composed at all."""
+    _gates.append(gate)
+
+
 def log_event(event, **fields):
     """Write `event` with its number and `fields` to the structured log."""
+    if not all(gate(event) for gate in _gates):
+        return
     eliot.log_message(f"ragworthoist:{event.name.lower()}", number=int(event), **fields)
--- a/src/ragworthoist/net/listener.py
+++ b/src/ragworthoist/net/listener.py
@@ -23,6 +23,8 @@
 MAX_PIPELINED = 16
 SWEEP_SECONDS = 0.25
 IDLE_MARGIN_SECONDS = 0.5
+# Enough for what a client has under way when the answer reaches it.
+LINGER_SECONDS = 1.0
 
 _REASONS = {status.value: status.phrase for status in HTTPStatus}
 _FRAMING = frozenset(
@@ -281,6 +283,9 @@
 
     def fail(self, request):
         """End the connection: `request` gets no answer or no whole one."""
+        if self._refused and request is self._current:
+            # Its answer is the refusal that is about to be written.
+            return
         if not (self._gone or self._closing or request.has_responded):
             self._transport.abort()
 
@@ -297,7 +302,18 @@
         self._closing = True
         for other in list(self._requests)[1:]:
             self._abandon(other)
-        self._transport.close()
+        if request.is_complete:
+            self._transport.close()
+        else:
+            self._close_gently()
+
+    def _close_gently(self):
+        # Closing with unread bytes resets the connection, and the client may then
+        # lose the answer: what still comes is read and dropped for a moment.
+        self._transport.resume_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(LINGER_SECONDS, self._transport.close)
 
     def _abandon(self, request):
         request.pipe.cut()
@@ -325,7 +341,7 @@
             self._transport.write(
                 head + b"connection: close\r\ncontent-length: 0\r\n\r\n"
             )
-            self._transport.close()
+            self._close_gently()
 
     # Flow and time.
 
--- a/src/ragworthoist_lab/__main__.py
+++ b/src/ragworthoist_lab/__main__.py
@@ -6,6 +6,8 @@
 
 from ragworthoist_lab.cut import run_cuttable_node
 from ragworthoist_lab.demonstration import demonstrate
+from ragworthoist_lab.mesh_server import run_mesh_server
+from ragworthoist_lab.mesh_store import run_mesh_store
 from ragworthoist_lab.server import run_server
 from ragworthoist_lab.store import run_store
 
@@ -15,6 +17,8 @@
     commands = {
         "store": run_store,
         "server": run_server,
+        "mesh-store": run_mesh_store,
+        "mesh-server": run_mesh_server,
         "node": run_cuttable_node,
         "demonstrate": demonstrate,
     }
--- a/src/ragworthoist_lab/fleet.py
+++ b/src/ragworthoist_lab/fleet.py
@@ -115,8 +115,8 @@
 
     def start_store(self):
         """Start the store, empty."""
-        self.store = _spawn_lab("store", str(self.store_port))
-        _wait_for_port(self.store_port, self.store)
+        self.store = spawn_lab("store", str(self.store_port))
+        wait_for_port(self.store_port, self.store)
 
     def start_server(self, endpoint):
         """Start the backend server of `endpoint`."""
@@ -127,7 +127,7 @@
         arguments += ["--seed", str(self.seed)]
         if spec.onward:
             arguments += ["--onward", *spec.onward]
-        endpoint.server = _spawn_lab(*arguments)
+        endpoint.server = spawn_lab(*arguments)
 
     def start_node(self, endpoint):
         """Start the node of `endpoint`."""
@@ -221,7 +221,7 @@
                 self.start_server(endpoint)
             self._write_settings(index, endpoint, seeds)
         for endpoint in self.endpoints:
-            _wait_for_port(endpoint.ports["server"], endpoint.server)
+            wait_for_port(endpoint.ports["server"], endpoint.server)
         for endpoint in self.endpoints:
             self.start_node(endpoint)
         self.wait_until_ready()
@@ -301,12 +301,20 @@
     return request_json(url, headers={"authorization": f"Bearer {TOKEN}"})
 
 
-def _spawn_lab(*arguments):
+def spawn_lab(*arguments):
+    """Start a command of the load and experiment tool as a process."""
     command = [sys.executable, "-m", "ragworthoist_lab", *arguments]
     return subprocess.Popen(command)
 
 
-def _wait_for_port(port, process):
+def wait_for_port(port, process):
+    """Wait until something listens on `port` of loopback.
+
+    Raises
+    ------
+    StartError
+        If `process` ends or takes too long.
+    """
     deadline = time.monotonic() + START_TIMEOUT_SECONDS
     while time.monotonic() < deadline and process.poll() is None:
         try:
--- /dev/null
+++ b/src/ragworthoist_lab/mesh.py
@@ -0,0 +1,208 @@
+"""A small fleet of real processes on the platform's stand-ins."""
+
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ragworthoist_lab.fleet import (
+    request_json,
+    reserve_ports,
+    spawn_lab,
+    wait_for_port,
+    wait_until,
+)
+
+HOST = "lab.example"
+CONFIGURATION_KEY = "op/config"
+
+
+@dataclass
+class MeshEndpoint:
+    """One backend server with the node beside it."""
+
+    service: str
+    domain: str
+    ports: dict
+    path: Path
+    server: subprocess.Popen = None
+    node: subprocess.Popen = None
+
+    @property
+    def log(self):
+        """The node's log events so far."""
+        lines = self.path.with_suffix(".log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+@dataclass
+class Mesh:
+    """Store, backend servers and nodes; leaving the context ends them all.
+
+    `services` maps names to numbers of endpoints.
+    """
+
+    services: dict
+    endpoints: list = field(default_factory=list)
+    store: subprocess.Popen = None
+    store_port: int = 0
+    version: int = 0
+    _folder: object = None
+
+    def __enter__(self):
+        self._folder = tempfile.TemporaryDirectory(prefix="ragworthoist-mesh-")
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_exception):
+        processes = [p for e in self.endpoints for p in (e.node, e.server)]
+        processes = [p for p in [*processes, self.store] if p is not None]
+        for process in processes:
+            if process.poll() is None:
+                process.kill()
+        for process in processes:
+            process.wait()
+        self._folder.cleanup()
+
+    def of(self, service):
+        """Return the endpoints of the service called `service`."""
+        return [e for e in self.endpoints if e.service == service]
+
+    def control_store(self, action, values=None):
+        """Ask the stand-in store for something, or set its faults."""
+        return request_json(f"http://127.0.0.1:{self.store_port}/{action}", values)
+
+    def control_server(self, endpoint, action, values=None):
+        """Ask a stand-in server for something, or change its behaviour."""
+        port = endpoint.ports["server"]
+        return request_json(f"http://127.0.0.1:{port}/.lab/{action}", values)
+
+    def read_state(self, endpoint):
+        """Return the state of a node's tables."""
+        return request_json(f"http://127.0.0.1:{endpoint.ports['metrics']}/state")
+
+    def read_records(self):
+        """Return the runs of all servers."""
+        return [
+            record
+            for endpoint in self.endpoints
+            if endpoint.server.poll() is None
+            for record in self.control_server(endpoint, "records")
+        ]
+
+    def configure(self, rules):
+        """Write the next version with `rules`, {prefix: changed fields}."""
+        self.version += 1
+        routes = [
+            {
+                "name": prefix.strip("/"),
+                "pathPrefix": prefix,
+                "routeKind": "safe",
+                "timeoutMs": 20_000,
+                "targetLatencyMs": 10_000,
+                "priority": 1,
+                "maxAttempts": 2,
+            }
+            | changes
+            for prefix, changes in rules.items()
+        ]
+        document = {
+            "version": f"{self.version:08x}",
+            "services": [{"name": name} for name in self.services],
+            "limits": {},
+            "virtualHosts": [{"host": HOST, "pathRules": routes}],
+        }
+        values = {"key": CONFIGURATION_KEY, "value": json.dumps(document)}
+        self.control_store("write", values)
+
+    def wait_for_version(self):
+        """Wait until all running nodes have the newest version in force."""
+        for endpoint in self.running:
+            wait_until(
+                lambda e=endpoint: self.read_state(e)["configuration"] == self.version
+            )
+
+    def wait_until_ready(self):
+        """Wait until all running nodes are ready and accept calls."""
+        wanted = len(self.running)
+        for endpoint in self.running:
+            wait_until(lambda e=endpoint: self._count_accepting(e) >= wanted)
+
+    @property
+    def running(self):
+        """The endpoints whose nodes run."""
+        return [e for e in self.endpoints if e.node and e.node.poll() is None]
+
+    def start_node(self, endpoint):
+        """Start the node of `endpoint`."""
+        command = [sys.executable, "-m", "ragworthoist", "node", str(endpoint.path)]
+        with open(endpoint.path.with_suffix(".log"), "ab") as log:
+            endpoint.node = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def stop_node(self, endpoint):
+        """Stop a node gracefully and return its exit code."""
+        endpoint.node.send_signal(signal.SIGTERM)
+        return endpoint.node.wait(30)
+
+    def is_ready(self, endpoint):
+        """Return whether a node answers and says that it is ready."""
+        return self._count_accepting(endpoint) > 0
+
+    def _count_accepting(self, endpoint):
+        try:
+            state = self.read_state(endpoint)
+        except OSError:
+            return 0
+        if not state["ready"]:
+            return 0
+        members = state["members"]
+        return sum(m["state"] == "alive" and m["accepting"] for m in members)
+
+    def _start_all(self):
+        names = ("entrance", "readiness", "reports", "peers", "server", "metrics")
+        count = sum(self.services.values())
+        ports = reserve_ports(1 + len(names) * count)
+        self.store_port = ports.pop()
+        self.store = spawn_lab("mesh-store", str(self.store_port))
+        wait_for_port(self.store_port, self.store)
+        for service, number in self.services.items():
+            for index in range(number):
+                own = {name: ports.pop() for name in names}
+                path = Path(self._folder.name) / f"{service}-{index}.toml"
+                endpoint = MeshEndpoint(service, "abc"[index % 3], own, path)
+                self.endpoints.append(endpoint)
+                self._write_settings(endpoint)
+                endpoint.server = spawn_lab(
+                    "mesh-server", service, str(own["server"]), str(own["reports"])
+                )
+        for endpoint in self.endpoints:
+            wait_for_port(endpoint.ports["server"], endpoint.server)
+            self.start_node(endpoint)
+
+    def _write_settings(self, endpoint):
+        lines = [
+            'edge = "attempts"',
+            "[node]",
+            f'name = "{endpoint.path.stem}"',
+            f'service = "{endpoint.service}"',
+            'region = "main"',
+            f'failure_domain = "{endpoint.domain}"',
+        ]
+        lines += [f'{n} = "127.0.0.1:{p}"' for n, p in endpoint.ports.items()]
+        lines += [
+            "[fleet]",
+            'name = "lab"',
+            'key = "lab-fleet-key-0123456789"',
+            "[store]",
+            'protocol = "platform"',
+            f'url = "http://127.0.0.1:{self.store_port}"',
+            f'configuration_key = "{CONFIGURATION_KEY}"',
+        ]
+        endpoint.path.write_text("\n".join(lines) + "\n")
--- /dev/null
+++ b/src/ragworthoist_lab/mesh_server.py
@@ -0,0 +1,176 @@
+"""Stand-in of a backend server that reports itself to the node beside it.
+
+It records every run by attempt id. `POST /.lab/behaviour` changes single fields of
+its behaviour, `GET /.lab/records` returns the runs.
+"""
+
+import os
+import time
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import aiohttp
+import anyio
+
+from ragworthoist.net.web import find_header, read_body, respond
+from ragworthoist_lab.web import (
+    MAX_BODY_BYTES,
+    read_json,
+    respond_json,
+    run_application,
+)
+
+HEARTBEAT_SECONDS = 0.3
+
+
+@dataclass(slots=True)
+class MeshBehaviour:
+    """How the server behaves.
+
+    `not_run_share` of the requests are refused before they run, `lost_share` run
+    and lose their answer; both are counted out evenly.
+    """
+
+    service_seconds: float = 0.005
+    not_run_every: int = 0
+    lose_every: int = 0
+    leaving: bool = False
+    silent: bool = False
+
+
+@dataclass(slots=True)
+class MeshServer:
+    """An ASGI application that serves every path of one service."""
+
+    service: str
+    address: str
+    reports_url: str
+    slots: int = 8
+    instance: str = field(default_factory=lambda: f"i-{os.urandom(4).hex()}")
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    behaviour: MeshBehaviour = field(default_factory=MeshBehaviour)
+    records: list = field(default_factory=list)
+    acknowledged: int = 0
+    sequence: int = 0
+    count: int = 0
+
+    async def __call__(self, scope, receive, send):
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        path = scope["path"]
+        if path.startswith("/.lab/"):
+            await self._control(path, receive, send)
+            return
+        if path == "/health":
+            headers = [(b"instance-id", self.instance.encode())]
+            await respond(send, 503 if self.behaviour.leaving else 200, headers)
+            return
+        body = await read_body(receive, MAX_BODY_BYTES)
+        await self._serve(scope, body, send)
+
+    async def _serve(self, scope, body, send):
+        headers = scope["headers"]
+        attempt = find_header(headers, b"attempt-id")
+        base = [(b"attempt-id", attempt), (b"instance-id", self.instance.encode())]
+        if find_header(headers, b"expect-instance").decode() != self.instance:
+            await respond(send, 421, base)
+            return
+        self.count += 1
+        behaviour = self.behaviour
+        if behaviour.not_run_every and self.count % behaviour.not_run_every == 0:
+            await respond(send, 503, [*base, (b"not-executed", b"1")])
+            return
+        self.records.append(
+            {
+                "attempt": attempt.decode(),
+                "caller": find_header(headers, b"caller-service").decode(),
+                "target": scope["raw_path"].decode(),
+                "length": len(body),
+                "left_ms": int(find_header(headers, b"deadline-ms") or 0),
+            }
+        )
+        await anyio.sleep(behaviour.service_seconds)
+        if behaviour.lose_every and self.count % behaviour.lose_every == 0:
+            # The answer breaks off after its head.
+            lost = [*base, (b"content-length", b"10")]
+            await send({"type": "http.response.start", "status": 200, "headers": lost})
+            await send({"type": "http.response.body", "body": b"", "more_body": True})
+            return
+        await respond(send, 200, [*base, (b"server-seal", b"lab")], body[::-1])
+
+    async def _control(self, path, receive, send):
+        if path == "/.lab/records":
+            await respond_json(send, self.records)
+            return
+        for name, value in (await read_json(receive)).items():
+            setattr(self.behaviour, name, value)
+        await respond_json(send, {"acknowledged": self.acknowledged})
+
+    async def report(self):
+        """Send heartbeats to the node until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                if not self.behaviour.silent:
+                    await self._beat(session)
+                await anyio.sleep(HEARTBEAT_SECONDS)
+
+    async def _beat(self, session):
+        self.sequence += 1
+        state = "draining" if self.behaviour.leaving else "ready"
+        body = {
+            "address": self.address,
+            "nodeInfo": {
+                "service": self.service,
+                "version": "v1",
+                "zone": "a",
+                "slots": self.slots,
+            },
+            "statusInfo": {"state": state, "seq": self.sequence, "coldLeftMs": 0},
+            "born": self.born,
+        }
+        url = f"{self.reports_url}/rpc?call=instances.heartbeat&of={self.instance}"
+        try:
+            async with session.post(url, json=body) as response:
+                if response.status == 200:
+                    self.acknowledged = self.sequence
+        except (aiohttp.ClientError, OSError):
+            # The node is not up; the next heartbeat tells it.
+            return
+
+
+class _Reporting:
+    """Runs the heartbeats beside the application from its first request on."""
+
+    def __init__(self, server):
+        self._server = server
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] != "lifespan":
+            await self._server(scope, receive, send)
+            return
+        async with self._heartbeats():
+            await receive()
+            await send({"type": "lifespan.startup.complete"})
+            await receive()
+        await send({"type": "lifespan.shutdown.complete"})
+
+    @asynccontextmanager
+    async def _heartbeats(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._server.report)
+            yield
+            tasks.cancel_scope.cancel()
+
+
+def run_mesh_server(service: str, port: int, reports_port: int, *, slots: int = 8):
+    """Run a stand-in backend server of the platform on loopback.
+
+    :param service: name of the service
+    :param port: port to listen on
+    :param reports_port: port of the node that takes its reports
+    :param slots: requests that it runs at once
+    """
+    reports_url = f"http://127.0.0.1:{reports_port}"
+    server = MeshServer(service, f"127.0.0.1:{port}", reports_url, slots)
+    run_application(_Reporting(server), port, lifespan="on")
--- /dev/null
+++ b/src/ragworthoist_lab/mesh_store.py
@@ -0,0 +1,175 @@
+"""Stand-in of the platform's key-value store, with leases, watches and faults.
+
+`POST /faults` sets how it misbehaves, `POST /write` writes as the operator does, and
+`GET /calls` tells how often it was called.
+"""
+
+import base64
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+import anyio
+
+from ragworthoist.net.web import respond
+from ragworthoist_lab.web import read_json, respond_json, run_application
+
+
+@dataclass(slots=True)
+class MeshFaults:
+    """How the store misbehaves; `lose_answers` counts writes without an answer."""
+
+    down: bool = False
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+    forget_history: bool = False
+
+
+@dataclass(slots=True)
+class _Lease:
+    seconds: float
+    expires: float
+
+
+@dataclass(slots=True)
+class MeshStore:
+    """An ASGI application that keeps items and their history in memory."""
+
+    revision: int = 10
+    items: dict = field(default_factory=dict)
+    history: list = field(default_factory=list)
+    leases: dict = field(default_factory=dict)
+    calls: dict = field(default_factory=dict)
+    faults: MeshFaults = field(default_factory=MeshFaults)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    async def __call__(self, scope, receive, send):
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        path, body = scope["path"], await read_json(receive)
+        if path in ("/faults", "/write", "/calls"):
+            await self._control(path, body, send)
+            return
+        self.calls[path] = self.calls.get(path, 0) + 1
+        await anyio.sleep(self.faults.delay_seconds)
+        if self.faults.down:
+            await respond(send, 503)
+            return
+        self._expire_leases()
+        query = {k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()}
+        status, reply = await self._answer(path, query, body)
+        if path == "/kv-txn" and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return
+        await respond_json(send, reply, status)
+
+    async def _answer(self, path, query, body):
+        if path == "/kv-key":
+            item = self.items.get(query["key"])
+            return (200, item | {"at": self.revision}) if item else (404, {})
+        if path == "/kv-range":
+            prefix = query["pathPrefix"]
+            found = [self.items[k] for k in sorted(self.items) if k.startswith(prefix)]
+            return 200, {"items": found, "hasMore": False, "at": self.revision}
+        if path == "/kv-watch":
+            return await self._watch(query)
+        if path == "/kv-txn":
+            return self._change(body)
+        if path == "/kv-lease":
+            number, seconds = len(self.leases) + 1, body["ttlMs"] / 1000
+            self.leases[number] = _Lease(seconds, anyio.current_time() + seconds)
+            return 200, {"leaseId": number, "ttlMs": body["ttlMs"]}
+        operation, _, number = path[1:].partition("/")
+        lease = self.leases.get(int(number))
+        if lease is None:
+            return 404, {}
+        if operation == "kv-keep":
+            lease.expires = anyio.current_time() + lease.seconds
+        else:
+            lease.expires = 0.0
+            self._expire_leases()
+        return 200, {}
+
+    async def _watch(self, query):
+        prefix, after = query["pathPrefix"], int(query["after"])
+        with anyio.move_on_after(int(query["waitMs"]) / 1000):
+            while True:
+                if self.faults.forget_history:
+                    self.faults.forget_history = False
+                    return 410, {}
+                found = [
+                    event
+                    for event in self.history
+                    if event["revision"] > after and event["key"].startswith(prefix)
+                ]
+                if found or self.faults.down:
+                    break
+                await self.changed.wait()
+        return 200, {"events": found, "at": self.revision}
+
+    def _change(self, body):
+        for expected in body["expect"]:
+            item = self.items.get(expected["key"])
+            if (item["revision"] if item else 0) != expected["revision"]:
+                return 412, {"items": [item] if item else []}
+        if any(p["leaseId"] and p["leaseId"] not in self.leases for p in body["puts"]):
+            return 404, {}
+        for put in body["puts"]:
+            self._write(put["key"], put["value"], put["leaseId"])
+        for key in body["deletes"]:
+            self._delete(key)
+        return 200, {"revision": self.revision}
+
+    def _write(self, key, value, lease=0):
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": value,
+            "revision": self.revision,
+            "createdRev": self.items.get(key, {}).get("createdRev", self.revision),
+            "leaseId": lease,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def _delete(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def _note(self, event):
+        self.history.append(event)
+        self._notify()
+
+    def _notify(self):
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _expire_leases(self):
+        now = anyio.current_time()
+        lapsed = {n for n, lease in self.leases.items() if lease.expires <= now}
+        for number in lapsed:
+            del self.leases[number]
+        for key in [k for k, item in self.items.items() if item["leaseId"] in lapsed]:
+            self._delete(key)
+
+    async def _control(self, path, body, send):
+        if path == "/calls":
+            await respond_json(send, self.calls)
+            return
+        if path == "/write":
+            value = base64.b64encode(body["value"].encode()).decode()
+            self._write(body["key"], value)
+        else:
+            for name, value in body.items():
+                setattr(self.faults, name, value)
+            self._notify()
+        await respond_json(send, {"revision": self.revision})
+
+
+def run_mesh_store(port: int):
+    """Run the stand-in of the platform's key-value store on loopback.
+
+    :param port: port to listen on
+    """
+    run_application(MeshStore(), port)
--- a/src/ragworthoist_lab/web.py
+++ b/src/ragworthoist_lab/web.py
@@ -22,7 +22,7 @@
     await respond(send, status, headers, json.dumps(value).encode())
 
 
-def run_application(application, port):
+def run_application(application, port, lifespan="off"):
     """Serve an ASGI application on loopback until a signal comes."""
     config = uvicorn.Config(
         application,
@@ -30,7 +30,7 @@
         port=port,
         http="httptools",
         ws="none",
-        lifespan="off",
+        lifespan=lifespan,
         log_level="error",
         access_log=False,
         backlog=2048,
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,76 @@
+import random
+from dataclasses import replace
+
+import pytest
+
+from ragworthoist.core.membership import Member
+from ragworthoist.core.placement import FORGET_SECONDS, Placement
+
+AIM = 0.1
+
+
+def make_member(name, domain="a", region="r"):
+    return Member(name.encode(), "shop", region, domain, "10.0.0.1", 80)
+
+
+OWN = make_member("own")
+NEAR = make_member("near")
+FAR = make_member("far", domain="b")
+ABROAD = make_member("abroad", domain="c", region="s")
+
+
+def make_placement(node=OWN):
+    return Placement(node, random.Random(1))
+
+
+def learn(placement, member, seconds=0.01, load=0.1, failed=False, now=1.0, times=20):
+    for _ in range(times):
+        placement.record_answer(member.instance, "order", seconds, load, failed, now)
+
+
+class TestPlacement:
+    @pytest.mark.parametrize(
+        ("lessons", "chosen"),
+        [
+            ({}, "near"),
+            ({"near": {"seconds": 0.02}}, "near"),
+            ({"near": {"seconds": 0.1}}, "far"),
+            ({"near": {"load": 1.1}}, "far"),
+            ({"near": {"load": 0.7}}, "near"),
+            ({"near": {"failed": True}}, "far"),
+            ({"near": {"seconds": 0.1}, "far": {"seconds": 0.3}}, "near"),
+            (
+                {name: {"load": 2.0} for name in ("near", "far", "abroad")},
+                "near",
+            ),
+        ],
+    )
+    def test_cost_decides_between_domains(self, lessons, chosen):
+        placement = make_placement()
+        members = {"near": NEAR, "far": FAR, "abroad": ABROAD}
+        for name, lesson in lessons.items():
+            learn(placement, members[name], **lesson)
+        found = placement.choose(list(members.values()), "order", AIM, 1.0)
+        assert found.instance == chosen.encode()
+
+    def test_the_own_server_saves_a_hop(self):
+        placement = make_placement()
+        picks = {
+            placement.choose([OWN, NEAR], "order", AIM, 1.0).instance for _ in range(50)
+        }
+        assert picks == {b"own"}
+
+    def test_what_was_learned_long_ago_is_tried_again(self):
+        placement = make_placement()
+        learn(placement, NEAR, seconds=1.0, now=1.0)
+        later = 1.0 + FORGET_SECONDS
+        assert placement.choose([NEAR, FAR], "order", AIM, 1.0) == FAR
+        assert placement.choose([NEAR, FAR], "order", AIM, later) == NEAR
+
+    def test_equal_endpoints_share_the_calls(self):
+        placement = make_placement()
+        twins = [replace(NEAR, instance=name) for name in (b"one", b"two")]
+        counts = {b"one": 0, b"two": 0}
+        for _ in range(400):
+            counts[placement.choose(twins, "order", AIM, 1.0).instance] += 1
+        assert min(counts.values()) > 100
--- /dev/null
+++ b/tests/lab/test_mesh.py
@@ -0,0 +1,202 @@
+"""The edge for attempts through real processes on the platform's stand-ins."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from ragworthoist_lab.fleet import wait_until
+from ragworthoist_lab.mesh import HOST, Mesh
+
+pytestmark = pytest.mark.processes
+
+RULES = {
+    "/shop/": {"service": "shop"},
+    "/stock/": {"service": "stock"},
+    "/order/": {"service": "shop", "routeKind": "unsafe"},
+}
+
+
+@pytest.fixture(scope="module")
+def mesh():
+    with Mesh({"shop": 2, "stock": 2}) as running:
+        running.configure(RULES)
+        running.wait_until_ready()
+        yield running
+
+
+async def ask(endpoint, method, target, attempt, body=b"", host=HOST, patience=20_000):
+    """Return (status, headers, body) of one attempt at the node of `endpoint`."""
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", endpoint.ports["entrance"]
+    )
+    head = (
+        f"{method} {target} HTTP/1.1\r\nhost: {host}\r\nattempt-id: {attempt}\r\n"
+        f"deadline-ms: {patience}\r\ncaller-service: false\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
+    status = int(head[0].split()[1])
+    if headers.get("transfer-encoding") == "chunked":
+        found = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            found += (await reader.readexactly(size + 2))[:-2]
+    else:
+        found = await reader.readexactly(int(headers["content-length"]))
+    writer.close()
+    return status, headers, found
+
+
+def runs_of(mesh, prefix):
+    found = [r for r in mesh.read_records() if r["attempt"].startswith(prefix)]
+    return Counter(record["attempt"] for record in found), found
+
+
+class TestServing:
+    @pytest.mark.parametrize("size", [0, 10, 100_000, 3_000_000])
+    @pytest.mark.parametrize("target", ["/shop/a?x=1", "/stock/b", "/order/c"])
+    def test_every_entrance_serves_every_service_whole(self, mesh, target, size):
+        body = bytes(range(250)) * (size // 250)
+        prefix = f"whole-{target[1:3]}-{size}-"
+
+        async def ask_all():
+            return [
+                await ask(endpoint, "POST", target, f"{prefix}{number}", body)
+                for number, endpoint in enumerate(mesh.endpoints)
+            ]
+
+        for status, _, found in asyncio.run(ask_all()):
+            assert (status, found == body[::-1]) == (200, True)
+        counts, records = runs_of(mesh, prefix)
+        assert set(counts.values()) == {1}
+        callers = {r["attempt"]: r["caller"] for r in records}
+        for number, endpoint in enumerate(mesh.endpoints):
+            assert callers[f"{prefix}{number}"] == endpoint.service
+
+    @pytest.mark.parametrize(
+        ("host", "target", "status"),
+        [(HOST, "/none/", 404), ("other.example", "/shop/", 404)],
+    )
+    def test_an_unknown_route_is_said_to_be_so(self, mesh, host, target, status):
+        found = asyncio.run(ask(mesh.endpoints[0], "GET", target, "no", host=host))
+        assert found[0] == status
+
+
+class TestConfiguration:
+    def test_a_change_is_in_force_at_every_node(self, mesh):
+        mesh.configure(RULES | {"/new/": {"service": "stock"}})
+        mesh.wait_for_version()
+
+        async def ask_all():
+            return [
+                (await ask(e, "GET", "/new/x", f"new-{n}"))[0]
+                for n, e in enumerate(mesh.endpoints)
+            ]
+
+        assert asyncio.run(ask_all()) == [200] * len(mesh.endpoints)
+
+    def test_a_watch_without_history_reads_afresh(self, mesh):
+        mesh.control_store("faults", {"forget_history": True})
+        mesh.configure(RULES)
+        mesh.wait_for_version()
+
+    def test_a_store_that_is_away_stops_no_request(self, mesh):
+        mesh.control_store("faults", {"down": True})
+        try:
+            found = asyncio.run(ask(mesh.endpoints[0], "GET", "/stock/x", "away"))
+        finally:
+            mesh.control_store("faults", {"down": False})
+        assert found[0] == 200
+        mesh.configure(RULES)
+        mesh.wait_for_version()
+
+
+class TestTruth:
+    def test_a_refusal_of_the_server_is_tried_elsewhere_and_runs_once(self, mesh):
+        for endpoint in mesh.of("shop"):
+            mesh.control_server(endpoint, "behaviour", {"not_run_every": 4})
+
+        async def ask_all():
+            entrance = mesh.of("stock")[0]
+            return [
+                (await ask(entrance, "POST", "/order/x", f"refuse-{n}"))[0]
+                for n in range(20)
+            ]
+
+        try:
+            statuses = asyncio.run(ask_all())
+        finally:
+            for endpoint in mesh.of("shop"):
+                mesh.control_server(endpoint, "behaviour", {"not_run_every": 0})
+        counts, _ = runs_of(mesh, "refuse-")
+        for number, status in enumerate(statuses):
+            assert counts[f"refuse-{number}"] == (1 if status == 200 else 0)
+            assert status in (200, 503)
+
+    def test_a_lost_answer_is_never_called_not_run(self, mesh):
+        for endpoint in mesh.of("shop"):
+            mesh.control_server(endpoint, "behaviour", {"lose_every": 3})
+
+        async def ask_all():
+            entrance = mesh.of("stock")[0]
+            return [
+                (await ask(entrance, "POST", "/order/x", f"lost-{n}"))[0]
+                for n in range(12)
+            ]
+
+        try:
+            statuses = asyncio.run(ask_all())
+        finally:
+            for endpoint in mesh.of("shop"):
+                mesh.control_server(endpoint, "behaviour", {"lose_every": 0})
+        counts, _ = runs_of(mesh, "lost-")
+        assert set(counts.values()) == {1}
+        assert set(statuses) == {200, 502}
+
+
+class TestLife:
+    def test_a_leaving_server_gets_nothing_once_it_has_been_told_so(self, mesh):
+        leaving = mesh.of("shop")[0]
+        told = mesh.control_server(leaving, "behaviour", {"leaving": True})
+        wait_until(
+            lambda: mesh.read_state(leaving)["server"]["state"] in ("leaving", "gone")
+        )
+        wait_until(lambda: mesh.read_state(leaving)["server"]["state"] == "gone")
+        assert told is not None
+
+        async def ask_all():
+            return [
+                (await ask(e, "GET", "/shop/x", f"leave-{n}"))[0]
+                for n, e in enumerate(mesh.endpoints)
+            ]
+
+        assert asyncio.run(ask_all()) == [200] * len(mesh.endpoints)
+        counts = Counter(
+            record["attempt"]
+            for record in mesh.control_server(leaving, "records")
+            if record["attempt"].startswith("leave-")
+        )
+        assert not counts
+
+    def test_a_stop_and_a_start_lose_nothing(self, mesh):
+        stopped = mesh.of("stock")[0]
+
+        async def ask_while_stopping():
+            loop = asyncio.get_running_loop()
+            stop = loop.run_in_executor(None, mesh.stop_node, stopped)
+            statuses = []
+            number = 0
+            while not stop.done():
+                number += 1
+                entrance = mesh.of("shop")[1]
+                found = await ask(entrance, "GET", "/stock/x", f"stop-{number}")
+                statuses.append(found[0])
+            return await stop, set(statuses)
+
+        assert asyncio.run(ask_while_stopping()) == (0, {200})
+        mesh.start_node(stopped)
+        wait_until(lambda: mesh.is_ready(stopped))
+        found = asyncio.run(ask(stopped, "GET", "/shop/x", "again"))
+        assert found[0] == 200
--- /dev/null
+++ b/tests/net/test_client.py
@@ -0,0 +1,228 @@
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from ragworthoist.exceptions import (
+    BodyCutError,
+    ConnectFailedError,
+    ConnectionLostError,
+    GarbledResponseError,
+)
+from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
+from ragworthoist.net.client import HttpClient
+
+HANG_SECONDS = 60.0
+HEAD = b"GET / HTTP/1.1\r\nhost: a\r\nid: %s\r\n\r\n"
+
+
+def whole(body=b"ok", request_id=b"1", extra=b""):
+    head = b"HTTP/1.1 200 OK\r\nid: %s\r\ncontent-length: %d\r\n" % (
+        request_id,
+        len(body),
+    )
+    return head + extra + b"\r\n" + body
+
+
+class ScriptedServer:
+    """Answers each request on a connection with the next entry of its script.
+
+    An entry is bytes to send; `CLOSE` and `RESET` end the connection.
+    """
+
+    CLOSE = object()
+    RESET = object()
+
+    def __init__(self, *connections):
+        self._scripts = list(connections)
+        self.received = []
+        self.connections = 0
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *_exception):
+        self._server.close()
+
+    @property
+    def address(self):
+        return self._server.sockets[0].getsockname()[:2]
+
+    async def _serve(self, reader, writer):
+        script = self._scripts[min(self.connections, len(self._scripts) - 1)]
+        self.connections += 1
+        for answer in script:
+            try:
+                self.received.append(await reader.readuntil(b"\r\n\r\n"))
+            except asyncio.IncompleteReadError:
+                return
+            for part in answer if isinstance(answer, list) else [answer]:
+                if part is self.CLOSE:
+                    writer.close()
+                    return
+                if part is self.RESET:
+                    linger = struct.pack("ii", 1, 0)
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+                    return
+                writer.write(part)
+                await writer.drain()
+        await reader.read()
+
+
+CLOSE, RESET = ScriptedServer.CLOSE, ScriptedServer.RESET
+
+
+def accepts(request_id):
+    return lambda response: response.find_header(b"id") in (request_id, b"")
+
+
+async def read_body(response):
+    if isinstance(response.body, bytes):
+        return response.body
+    parts = []
+    while part := await response.body.read():
+        parts.append(part)
+    return b"".join(parts)
+
+
+def run_script(*connections, requests=1):
+    """Send `requests` one after the other; return (results, connections made)."""
+
+    async def run():
+        results = []
+        async with (
+            asyncio.timeout(HANG_SECONDS),
+            ScriptedServer(*connections) as server,
+            HttpClient(server.address) as client,
+        ):
+            for number in range(1, requests + 1):
+                request_id = b"%d" % number
+                try:
+                    response = await client.send(
+                        HEAD % request_id, b"", accepts(request_id)
+                    )
+                    results.append(await read_body(response))
+                except (ConnectionLostError, GarbledResponseError, BodyCutError) as e:
+                    results.append(type(e))
+                # Releases the connection, which waits for the next turn.
+                await asyncio.sleep(0)
+            return results, server.connections
+
+    return asyncio.run(run())
+
+
+LONG = bytes(HIGH_WATER_BYTES * 3)
+
+
+class TestAnswers:
+    @pytest.mark.parametrize(
+        ("answer", "result"),
+        [
+            (whole(), b"ok"),
+            (whole(LONG), LONG),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" + whole(), b"ok"),
+            (whole(b"late", b"0") + whole(), b"ok"),
+            ([b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok", CLOSE], b"ok"),
+            ([b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok", RESET], ConnectionLostError),
+            ([whole()[:-1], CLOSE], ConnectionLostError),
+            ([whole(LONG)[:-1], CLOSE], BodyCutError),
+            ([b"HTTP/1.1 200 OK\r\n", CLOSE], ConnectionLostError),
+            ([CLOSE], ConnectionLostError),
+            ([RESET], ConnectionLostError),
+            (b"garbage garbage\r\n\r\n", GarbledResponseError),
+            (b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n", GarbledResponseError),
+            (
+                [
+                    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
+                    CLOSE,
+                ],
+                ConnectionLostError,
+            ),
+        ],
+    )
+    def test_only_whole_answers_count(self, answer, result):
+        results, _ = run_script([answer])
+        assert results == [result]
+
+    @pytest.mark.parametrize(
+        ("first", "connections"),
+        [
+            (whole(), 1),
+            (whole(LONG), 1),
+            (whole() + b"surplus", 2),
+            (whole() + whole(b"again"), 2),
+            (whole(b"late", b"0") + whole(), 2),
+            (whole(extra=b"connection: close\r\n"), 2),
+            ([b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nok", CLOSE], 2),
+        ],
+    )
+    def test_a_connection_is_kept_only_while_in_step(self, first, connections):
+        second = whole(b"second", b"2")
+        results, made = run_script([first, second], [second], requests=2)
+        assert (results[1], made) == (b"second", connections)
+
+    def test_an_answer_that_comes_while_idle_ends_the_connection(self):
+        async def run():
+            async with (
+                asyncio.timeout(HANG_SECONDS),
+                ScriptedServer([[whole(), b""], b""]) as server,
+                HttpClient(server.address) as client,
+            ):
+                await client.send(HEAD % b"1", b"", accepts(b"1"))
+                await asyncio.sleep(0)
+                [connection] = client._idle
+                connection.data_received(whole(b"late", b"0"))
+                return connection.is_reusable
+
+        assert asyncio.run(run()) is False
+
+
+class TestRequests:
+    def test_no_listener_means_nothing_was_sent(self):
+        async def run():
+            server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()[:2]
+            server.close()
+            await server.wait_closed()
+            with pytest.raises(ConnectFailedError):
+                await HttpClient(address).send(HEAD % b"1")
+
+        asyncio.run(run())
+
+    def test_a_cancelled_request_closes_its_connection(self):
+        async def run():
+            async with (
+                asyncio.timeout(HANG_SECONDS),
+                ScriptedServer([[]]) as server,
+                HttpClient(server.address) as client,
+            ):
+                task = asyncio.create_task(client.send(HEAD % b"1"))
+                while not server.received:
+                    await asyncio.sleep(0)
+                task.cancel()
+                await asyncio.wait([task])
+                while client._open:
+                    await asyncio.sleep(0)
+                return client._idle
+
+        assert asyncio.run(run()) == []
+
+    def test_an_early_answer_is_delivered_and_ends_the_connection(self):
+        async def run():
+            async with (
+                asyncio.timeout(HANG_SECONDS),
+                ScriptedServer([whole()]) as server,
+                HttpClient(server.address) as client,
+            ):
+                head = b"POST / HTTP/1.1\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+                pipe = BodyPipe()
+                pipe.feed(b"some")
+                response = await client.send(head, pipe, accepts(b"1"))
+                await asyncio.sleep(0)
+                return response.body, client._idle
+
+        assert asyncio.run(run()) == (b"ok", [])
--- /dev/null
+++ b/tests/net/test_listener.py
@@ -0,0 +1,243 @@
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from ragworthoist.core.routes import RequestLimits
+from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
+from ragworthoist.net.listener import Listener
+
+HANG_SECONDS = 60.0
+LIMITS = RequestLimits(
+    max_head_bytes=2000, max_body_bytes=200_000, head_timeout=60.0, idle_timeout=60.0
+)
+GET = b"GET %s HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+async def echo(request):
+    body = request.body
+    if not isinstance(body, bytes):
+        parts = []
+        while part := await body.read():
+            parts.append(part)
+        body = b"".join(parts)
+    await request.respond(200, [(b"target", request.target)], body)
+
+
+@asynccontextmanager
+async def serve(handle=echo, limits=LIMITS):
+    async with asyncio.timeout(HANG_SECONDS):
+        listener = Listener(handle, ("127.0.0.1", 0))
+        listener.limits = limits
+        async with listener:
+            port = listener._server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            yield listener, reader, writer
+            writer.close()
+
+
+async def read_answer(reader):
+    """Return (status, headers, body) of one answer with a length or chunks."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
+    status = int(head[0].split()[1])
+    if headers.get("transfer-encoding") == "chunked":
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+        return status, headers, body
+    return status, headers, await reader.readexactly(int(headers["content-length"]))
+
+
+def exchange(*pieces, answers=1, handle=echo, limits=LIMITS):
+    """Send `pieces` and return the answers, with whether the connection ended."""
+
+    async def run():
+        async with serve(handle, limits) as (_, reader, writer):
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+            found = [await read_answer(reader) for _ in range(answers)]
+            ended = found[-1][1].get("connection") == "close"
+            if ended:
+                assert await reader.read() == b""
+            return found, ended
+
+    return asyncio.run(run())
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("sent", "status"),
+        [
+            (b"nonsense\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nhost a\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nx: " + b"y" * 3000 + b"\r\n\r\n", 431),
+            (b"GET /" + b"y" * 3000 + b" HTTP/1.1\r\n\r\n", 431),
+            (b"POST / HTTP/1.1\r\ncontent-length: 300000\r\n\r\n", 413),
+            (b"POST / HTTP/1.1\r\ncontent-length: -1\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n", 400),
+            (
+                b"POST / HTTP/1.1\r\ncontent-length: 5\r\n"
+                b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                400,
+            ),
+            (b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", 400),
+        ],
+    )
+    def test_is_refused_with_its_status_and_ends_the_connection(self, sent, status):
+        [(found, _, _)], ended = exchange(sent)
+        assert (found, ended) == (status, True)
+
+    def test_a_long_chunked_body_is_refused(self):
+        chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+        head = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+
+        async def wait_for_end(request):
+            while await request.body.read():
+                pass
+
+        async def run():
+            async with serve(wait_for_end) as (_, reader, writer):
+                writer.write(head + chunk * 5)
+                return (await reader.readline()).split()[1]
+
+        assert asyncio.run(run()) == b"413"
+
+    def test_what_came_before_is_answered_first(self):
+        found, ended = exchange(GET % b"/good" + b"bad\r\n\r\n", answers=2)
+        assert ([status for status, _, _ in found], ended) == ([200, 400], True)
+
+    @pytest.mark.parametrize("started", [b"GET / HT", b"GET / HTTP/1.1\r\nho"])
+    def test_a_slow_head_gets_a_refusal(self, started):
+        limits = replace(LIMITS, head_timeout=0.01)
+        [(status, _, _)], ended = exchange(started, limits=limits)
+        assert (status, ended) == (408, True)
+
+    def test_an_idle_connection_is_closed(self):
+        async def run():
+            limits = replace(LIMITS, idle_timeout=0.01)
+            async with serve(limits=limits) as (_, reader, writer):
+                writer.write(GET % b"/")
+                await read_answer(reader)
+                return await reader.read()
+
+        assert asyncio.run(run()) == b""
+
+
+class TestRequests:
+    @pytest.mark.parametrize("size", [0, 1, 1000, HIGH_WATER_BYTES + 1, 200_000])
+    @pytest.mark.parametrize("is_chunked", [False, True])
+    def test_bodies_arrive_whole(self, size, is_chunked):
+        body = bytes(range(256)) * (size // 256) + bytes(size % 256)
+        if is_chunked:
+            head = b"POST /x?a=b HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+            framed = b"%x\r\n%b\r\n" % (size, body) if size else b""
+            sent = head + framed + b"0\r\n\r\n"
+        else:
+            head = b"POST /x?a=b HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size
+            sent = head + body
+        [(status, headers, found)], _ = exchange(sent)
+        assert (status, headers["target"], found) == (200, "/x?a=b", body)
+
+    def test_requests_sent_ahead_run_side_by_side_and_are_answered_in_order(self):
+        async def run():
+            second_ran = asyncio.Event()
+
+            async def handle(request):
+                if request.target == b"/1":
+                    await second_ran.wait()
+                else:
+                    second_ran.set()
+                await request.respond(200, [], request.target)
+
+            async with serve(handle) as (_, reader, writer):
+                writer.write(GET % b"/1" + GET % b"/2")
+                return [(await read_answer(reader))[2] for _ in range(2)]
+
+        assert asyncio.run(run()) == [b"/1", b"/2"]
+
+    def test_a_caller_that_leaves_cancels_its_request(self):
+        async def run():
+            started, cancelled = asyncio.Event(), asyncio.Event()
+
+            async def handle(request):
+                started.set()
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    cancelled.set()
+
+            async with serve(handle) as (_, _, writer):
+                writer.write(GET % b"/")
+                await started.wait()
+                writer.close()
+                await cancelled.wait()
+
+        asyncio.run(run())
+
+    def test_an_early_answer_leaves_the_connection_usable(self):
+        async def answer_early(request):
+            await request.respond(200, [], request.target)
+
+        async def run():
+            async with serve(answer_early) as (_, reader, writer):
+                size = HIGH_WATER_BYTES + 10
+                writer.write(b"POST /1 HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size)
+                writer.write(bytes(HIGH_WATER_BYTES))
+                first = await read_answer(reader)
+                writer.write(bytes(10) + GET % b"/2")
+                return first[2], (await read_answer(reader))[2]
+
+        assert asyncio.run(run()) == (b"/1", b"/2")
+
+
+class TestAnswers:
+    @pytest.mark.parametrize("cut_after", [0, 1, 3])
+    def test_a_streamed_answer_that_is_cut_looks_cut(self, cut_after):
+        async def handle(request):
+            pipe = BodyPipe()
+            for _ in range(cut_after):
+                pipe.feed(b"part")
+            pipe.cut()
+            await request.respond(200, [], pipe)
+
+        async def run():
+            async with serve(handle) as (_, reader, writer):
+                writer.write(GET % b"/")
+                try:
+                    return await reader.read()
+                except ConnectionResetError:
+                    return b""
+
+        assert not asyncio.run(run()).endswith(b"0\r\n\r\n")
+
+    def test_a_handler_without_an_answer_cuts_the_connection(self):
+        async def handle(_request):
+            return
+
+        async def run():
+            async with serve(handle) as (_, reader, writer):
+                writer.write(GET % b"/")
+                try:
+                    return await reader.read()
+                except ConnectionResetError:
+                    return b""
+
+        assert asyncio.run(run()) == b""
+
+    def test_a_drain_ends_connections_with_their_last_answer(self):
+        async def run():
+            async with serve() as (listener, reader, writer):
+                writer.write(GET % b"/1")
+                before = await read_answer(reader)
+                listener.drain()
+                writer.write(GET % b"/2" + GET % b"/3")
+                after = [await read_answer(reader) for _ in range(2)]
+                assert await reader.read() == b""
+                return [a[1].get("connection") for a in [before, *after]]
+
+        assert asyncio.run(run()) == [None, None, "close"]
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,31 @@
+"""Names of the platform stand only in its adapter."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+import ragworthoist
+
+PACKAGE = Path(ragworthoist.__file__).parent
+NAMES = (
+    "virtualHosts", "pathRules", "pathPrefix", "routeKind", "targetLatencyMs",
+    "weightedSplit", "maxAttempts", "healthPath", "maxConnections", "coldLeftMs",
+    "statusInfo", "nodeInfo", "beatAddress", "attempt-id", "deadline-ms",
+    "expect-instance", "server-seal", "not-executed", "caller-service", "kv-txn",
+    "kv-range", "kv-watch", "kv-lease", "staleOk", "hasMore", "leaseId", "platformCfg",
+)  # fmt: skip
+PATTERN = re.compile(r"(?<!ragworthoist-)(" + "|".join(NAMES) + ")", re.IGNORECASE)
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        path
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.relative_to(PACKAGE).parts[0] != "platform"
+    ],
+    ids=lambda path: str(path.relative_to(PACKAGE)),
+)
+def test_no_name_of_the_platform_stands_outside_the_adapter(path):
+    assert PATTERN.findall(path.read_text()) == []
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,80 @@
+import json
+
+import pytest
+
+from ragworthoist.core.configuration import Adoption, ConfigurationTable
+from ragworthoist.exceptions import DocumentError
+from ragworthoist.platform.configuration import compile_routes
+
+RULE = {
+    "name": "r-1",
+    "pathPrefix": "/x/",
+    "routeKind": "safe",
+    "timeoutMs": 5000,
+    "targetLatencyMs": 1200,
+    "priority": 1,
+    "service": "shop",
+    "maxAttempts": 2,
+}
+
+
+def encode(version="0000000c", rules=(RULE,), **changes):
+    body = {
+        "version": version,
+        "services": [{"name": "shop", "healthPath": "/up", "maxConnections": 7}],
+        "limits": {"maxHeaderBytes": 100, "idleTimeoutMs": 2000},
+        "virtualHosts": [{"host": "A.example", "pathRules": list(rules)}],
+    }
+    return json.dumps(body | changes).encode()
+
+
+def test_a_configuration_becomes_routes():
+    table = compile_routes(encode())
+    route = table.find("a.example", "/x/1")
+    assert (table.version, route.name, route.rank) == (12, "r-1", 1)
+    assert (route.timeout, route.aim, route.max_attempts) == (5.0, 1.2, 2)
+    assert route.idempotent
+    assert table.service("shop").health_path == "/up"
+    assert (table.limits.max_head_bytes, table.limits.idle_timeout) == (100, 2.0)
+
+
+def test_a_split_keeps_the_parts_with_a_weight():
+    parts = [{"service": "a", "weight": 90}, {"service": "b", "weight": 0}]
+    rule = {key: RULE[key] for key in RULE if key != "service"}
+    table = compile_routes(encode(rules=[rule | {"weightedSplit": parts}]))
+    [share] = table.find("a.example", "/x/").shares
+    assert (share.service, share.weight) == ("a", 90)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"{",
+        b"\xff",
+        b"[]",
+        encode(version="12"),
+        encode(version=12),
+        encode(rules=[RULE | {"pathPrefix": "x"}]),
+        encode(rules=[RULE | {"routeKind": "odd"}]),
+        encode(rules=[RULE | {"timeoutMs": -1}]),
+        encode(rules=[RULE | {"service": None}]),
+        encode(limits={"maxHeaderBytes": 0}),
+    ],
+)
+def test_what_cannot_be_read_leaves_the_last_good_one_in_force(raw):
+    table = ConfigurationTable(compile=compile_routes)
+    assert table.offer(encode()) is Adoption.ADOPTED
+    with pytest.raises(DocumentError):
+        table.offer(raw)
+    assert table.version == 12
+
+
+@pytest.mark.parametrize(
+    ("version", "adoption"),
+    [("0000000b", "older"), ("0000000c", "same"), ("000000ff", "adopted")],
+)
+def test_only_higher_versions_are_adopted(version, adoption):
+    table = ConfigurationTable(compile=compile_routes)
+    table.offer(encode())
+    assert table.offer(encode(version)).value == adoption
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,96 @@
+import json
+import os
+
+import pytest
+
+from ragworthoist._logs import PERIOD_SECONDS, LogWriter
+from ragworthoist._settings import LogSettings
+from ragworthoist.events import Event
+
+SETTINGS = LogSettings(lines_per_second=10, bytes_per_second=100_000)
+
+
+class Clock:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def pipe():
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def log(writer, event, text=""):
+    if writer.admits(event):
+        writer({"message_type": event.name, "text": text})
+
+
+def read_lines(descriptor):
+    os.set_blocking(descriptor, False)
+    raw = b""
+    while True:
+        try:
+            part = os.read(descriptor, 65_536)
+        except BlockingIOError:
+            return [json.loads(line) for line in raw.splitlines()]
+        if not part:
+            return [json.loads(line) for line in raw.splitlines()]
+        raw += part
+
+
+def test_failures_have_a_part_of_the_rate_to_themselves(pipe):
+    clock = Clock()
+    writer = LogWriter(pipe[1], SETTINGS, clock)
+    for _ in range(20):
+        log(writer, Event.REQUEST_SERVED)
+    for _ in range(20):
+        log(writer, Event.REQUEST_FAILED)
+    names = [line["message_type"] for line in read_lines(pipe[0])]
+    assert names == ["REQUEST_SERVED"] * 5 + ["REQUEST_FAILED"] * 5
+    assert writer.left_out == 30
+
+
+def test_what_was_left_out_is_told_in_the_next_period(pipe):
+    clock = Clock()
+    writer = LogWriter(pipe[1], SETTINGS, clock)
+    for _ in range(12):
+        log(writer, Event.REQUEST_FAILED)
+    clock.now = PERIOD_SECONDS
+    log(writer, Event.REQUEST_FAILED)
+    told, last = read_lines(pipe[0])[-2:]
+    assert (told["number"], told["count"]) == (Event.LOG_LEFT_OUT, 2)
+    assert last["message_type"] == "REQUEST_FAILED"
+
+
+def test_a_reader_that_stops_reading_stalls_nothing_and_sees_whole_lines(pipe):
+    clock = Clock()
+    settings = LogSettings(lines_per_second=10_000, bytes_per_second=100_000_000)
+    writer = LogWriter(pipe[1], settings, clock)
+    for _ in range(500):
+        log(writer, Event.REQUEST_FAILED, "x" * 1000)
+    assert writer.left_out > 0
+    before = len(read_lines_partly(pipe[0]))
+    for _ in range(20):
+        log(writer, Event.REQUEST_FAILED, "y")
+    assert before > 0
+
+
+def read_lines_partly(descriptor):
+    """Return the whole lines that are there; a part of one may follow."""
+    os.set_blocking(descriptor, False)
+    raw = os.read(descriptor, 1 << 20)
+    return [json.loads(line) for line in raw.split(b"\n")[:-1]]
+
+
+def test_a_reader_that_has_gone_stalls_nothing():
+    reading, writing = os.pipe()
+    os.close(reading)
+    writer = LogWriter(writing, SETTINGS, Clock())
+    log(writer, Event.REQUEST_FAILED)
+    os.close(writing)
+    assert writer.left_out == 1
