Dispatch peer frames as they arrive and count repeats as the fleet does

Change: peer streams are protocols without tasks of their own, a local call is handed over in its caller's task, log lines are gated before they are composed. Only requests of clients earn repeats. A connection that ends is read until the client has closed it.

--- a/src/ragworthoist/_commands.py
+++ b/src/ragworthoist/_commands.py
@@ -15,7 +15,6 @@
 from pathlib import Path
 
 import anyio
-import defopt
 
 from ragworthoist._document import validate_document
 from ragworthoist._registry import Registry
@@ -53,6 +52,9 @@
 
 def run_command(arguments=None):
     """Run one command and return its exit code."""
+    # Loaded here: a node that is started directly does without it.
+    import defopt
+
     commands = {
         "node": run_node,
         "check": check,
--- a/src/ragworthoist/core/budgets.py
+++ b/src/ragworthoist/core/budgets.py
@@ -47,10 +47,14 @@
         self._windows = {}
 
     def record_request(self, service, now):
-        """Count a client's request for `service`."""
+        """Count a client's request for `service`; calls of servers do not count."""
         window = self._window(service, now)
         window.requests.append(now)
 
+    def charge(self, service, now):
+        """Count a repeat that was decided elsewhere, such as a call of a repeated run."""
+        self._window(service, now).repeats.append(now)
+
     def withdraw(self, service, now, fleet_size):
         """Use one repeat; return False when the share is spent."""
         window = self._window(service, now)
--- a/src/ragworthoist/edge/entrance.py
+++ b/src/ragworthoist/edge/entrance.py
@@ -1,7 +1,7 @@
 """Where requests of clients and of the local backend server enter."""
 
 from ragworthoist.core.entities import Call, Outcome, Reason, draw_from, refuse
-from ragworthoist.events import Event, log_event
+from ragworthoist.events import Event, is_logged, log_event, write_event
 from ragworthoist.exceptions import CallerGoneError
 from ragworthoist.platform.headers import make_refusal_headers, read_attempt
 
@@ -42,7 +42,15 @@
             headers = make_refusal_headers(attempt_id, None)
             await request.respond(_status_of(answer), headers)
             return
-        node.budget.record_request(call.service, started)
+        parent = node.handover.find_parent(attempt_id)
+        if parent is None:
+            node.budget.record_request(call.service, started)
+        else:
+            call.deadline = min(call.deadline, parent.deadline)
+            if parent.repeat:
+                # What a repeated run calls is repeated as well.
+                call.repeat = True
+                node.budget.charge(call.service, started)
         try:
             answer = await node.dispatcher.dispatch(call, route)
         except BaseException:
@@ -118,8 +126,10 @@
         event = _EVENTS[answer.outcome]
         if answer.outcome is Outcome.COMPLETED and answer.status >= 500:
             event = Event.REQUEST_FAILED
+        if not is_logged(event):
+            return
         node = self._node
-        log_event(
+        write_event(
             event,
             request=attempt_id.decode("latin1"),
             route=route.name if route else "",
--- a/src/ragworthoist/edge/handover.py
+++ b/src/ragworthoist/edge/handover.py
@@ -11,7 +11,7 @@
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
 from ragworthoist.core.lifetimes import ServerState
 from ragworthoist.core.policy import ServicePolicy
-from ragworthoist.events import Event, log_event
+from ragworthoist.events import Event, is_logged, log_event, write_event
 from ragworthoist.exceptions import (
     ConnectFailedError,
     ConnectionLostError,
@@ -57,6 +57,7 @@
     entry: object = None
     task: object = None
     is_cancelled: bool = False
+    is_inline: bool = False
 
 
 class Handover:
@@ -80,6 +81,7 @@
         self._client = client
         self._clock = clock
         self._connect_failures = 0
+        self._running = {}
 
     async def serve(self, call):
         """Take in `call` from this very node and return its `Answer`."""
@@ -89,7 +91,10 @@
             if not done.done():
                 done.set_result(answer)
 
-        work = self.submit(call, reply)
+        work = self.submit(call, reply, inline=True)
+        if work is not None and work.is_inline:
+            # Spares a task of its own for the hand-over.
+            await self._hand_over(work)
         try:
             return await done
         except asyncio.CancelledError:
@@ -97,9 +102,11 @@
                 self.cancel(work)
             raise
 
-    def submit(self, call, reply):
+    def submit(self, call, reply, inline=False):
         """Take in `call`; `reply` is called once with its `Answer`.
 
+        With `inline` a call that need not wait is left to the caller to hand over.
+
         Returns
         -------
         Work or None
@@ -110,12 +117,23 @@
         if reason is not None:
             self._refuse(call, reply, reason)
             return None
-        work = Work(call, reply)
+        work = Work(call, reply, is_inline=inline)
         self.in_progress += 1
         work.entry = Entry(call, now, lambda entry: self._on_decided(work))
         self.admission.offer(work.entry, now)
+        if work.entry.state is EntryState.WAITING:
+            work.is_inline = False
         return work
 
+    def find_parent(self, attempt_id):
+        """Return the call running here for which the server makes the call `attempt_id`.
+
+        Servers have been seen to put a dot and a part of their own behind the id of
+        the request they work for. Nothing promises it, so None tells nothing.
+        """
+        parent_id, dot, _ = attempt_id.rpartition(b".")
+        return self._running.get(parent_id) if dot else None
+
     def cancel(self, work):
         """End `work`, whose caller has gone."""
         if work.is_cancelled:
@@ -185,6 +203,8 @@
 
     def _on_decided(self, work):
         if work.entry.state is EntryState.RUNNING:
+            if work.is_inline:
+                return
             loop = asyncio.get_running_loop()
             work.task = loop.create_task(self._hand_over(work))
             return
@@ -209,12 +229,14 @@
             self._refuse(call, work.reply, reason)
             return
         answer = None
+        self._running[call.request_id] = call
         try:
             answer = await self._exchange(call, remaining)
         except Exception as error:
             log_event(Event.TASK_FAILED, task="hand_over", error=repr(error))
             answer = Answer(Outcome.UNKNOWN, Reason.SERVER_ERROR)
         finally:
+            self._running.pop(call.request_id, None)
             self._finish(work, answer)
 
     async def _exchange(self, call, remaining):
@@ -301,8 +323,11 @@
 
     def _log(self, work, answer, now):
         failed = answer.outcome is not Outcome.COMPLETED or answer.status >= 500
-        log_event(
-            Event.CALL_FAILED if failed else Event.CALL_HANDED,
+        event = Event.CALL_FAILED if failed else Event.CALL_HANDED
+        if not is_logged(event):
+            return
+        write_event(
+            event,
             request=work.call.request_id.decode("latin1"),
             server=self.life.instance,
             outcome=answer.outcome.label,
--- a/src/ragworthoist/events.py
+++ b/src/ragworthoist/events.py
@@ -56,8 +56,17 @@
     _gates.append(gate)
 
 
+def is_logged(event):
+    """Whether a line for `event` would be written; counts it as left out if not."""
+    return all(gate(event) for gate in _gates)
+
+
 def log_event(event, **fields):
     """Write `event` with its number and `fields` to the structured log."""
-    if not all(gate(event) for gate in _gates):
-        return
+    if is_logged(event):
+        write_event(event, **fields)
+
+
+def write_event(event, **fields):
+    """Write an event of which `is_logged` has been asked."""
     eliot.log_message(f"ragworthoist:{event.name.lower()}", number=int(event), **fields)
--- a/src/ragworthoist/net/listener.py
+++ b/src/ragworthoist/net/listener.py
@@ -120,6 +120,9 @@
         self._requests.clear()
 
     def eof_received(self):
+        if self._closing or self._refused:
+            self._transport.close()
+            return False
         # A client that has closed its side does not wait for answers.
         self._transport.abort()
         return False
@@ -302,14 +305,12 @@
         self._closing = True
         for other in list(self._requests)[1:]:
             self._abandon(other)
-        if request.is_complete:
-            self._transport.close()
-        else:
-            self._close_gently()
+        self._close_gently()
 
     def _close_gently(self):
         # Closing with unread bytes resets the connection, and the client may then
-        # lose the answer: what still comes is read and dropped for a moment.
+        # lose the answer: what still comes, such as requests sent ahead, is read and
+        # dropped for a moment.
         self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
--- a/src/ragworthoist/net/peers.py
+++ b/src/ragworthoist/net/peers.py
@@ -1,30 +1,17 @@
 """The streams of one node: opened lazily, one for each peer."""
 
+import asyncio
+
 import anyio
-from anyio.abc import SocketAttribute
 
 from ragworthoist.core.entities import Reason, refuse
 from ragworthoist.events import Event, log_event
-from ragworthoist.net.sockets import guard_socket
 from ragworthoist.net.streams import PeerStream
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 RECONNECT_PAUSE_SECONDS = 0.2
 
 
-class _Registration:
-    """Enters a stream in the table as soon as its handshake is done."""
-
-    def __init__(self, table, stream, task_status):
-        self._table = table
-        self._stream = stream
-        self._task_status = task_status
-
-    def started(self, value=None):
-        self._table.register(self._stream)
-        self._task_status.started(value)
-
-
 class PeerTable:
     """All peer streams of a node, by the instance at the other end."""
 
@@ -44,10 +31,16 @@
         """Accept streams at `address` until cancelled."""
         self._tasks = tasks
         host, port = address
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        async with listener:
+        server = await asyncio.get_running_loop().create_server(
+            lambda: PeerStream(self._host, False, self.register), host, port
+        )
+        try:
             task_status.started()
-            await listener.serve(self._accept)
+            await anyio.sleep_forever()
+        finally:
+            server.close()
+            for stream in list(self._all):
+                stream.close()
 
     async def stream_to(self, member):
         """Return a stream to `member`, or None when it cannot be reached."""
@@ -127,20 +120,14 @@
             opening.set()
 
     async def _connect(self, address):
+        host, port = address
         try:
-            transport = await anyio.connect_tcp(*address)
-            guard_socket(transport.extra(SocketAttribute.raw_socket))
-            stream = PeerStream(transport, self._host, opened=True)
-            return await self._tasks.start(self._run, stream)
-        except (OSError, RuntimeError):
+            _, stream = await asyncio.get_running_loop().create_connection(
+                lambda: PeerStream(self._host, True, self.register), host, port
+            )
+        except OSError:
             return None
-
-    async def _run(self, stream, task_status=anyio.TASK_STATUS_IGNORED):
-        await stream.run(_Registration(self, stream, task_status))
-
-    async def _accept(self, transport):
-        guard_socket(transport.extra(SocketAttribute.raw_socket))
-        await self._run(PeerStream(transport, self._host, opened=False))
+        return await asyncio.shield(stream.established)
 
     def register(self, stream):
         """Enter a stream whose handshake is done."""
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -1,14 +1,14 @@
 """The multiplexed stream between two nodes.
 
-Either side may call the other. Frames are written by one task that joins what has
-accumulated, and read by one task that dispatches frames without starting tasks of
-its own, so a call costs few switches.
+Either side may call the other. Frames are dispatched as they arrive, and what is to
+be sent within one turn of the event loop leaves in one write, so a call costs few
+switches.
 """
 
+import asyncio
 import os
 from dataclasses import dataclass, field
 
-import anyio
 import msgpack
 
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
@@ -29,10 +29,11 @@
     unpack_answer,
     unpack_call,
 )
+from ragworthoist.net.sockets import guard_socket
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
-VERDICT_GRACE_SECONDS = 0.05
-RECEIVE_BYTES = 65_536
+# Beyond the deadline of a call: the peer's verdict at the deadline may arrive.
+VERDICT_GRACE_SECONDS = 0.12
 EXCHANGE_TIMEOUT_SECONDS = 5.0
 # A healthy peer answers a check within its link's round trip and one turn of its
 # event loop; a multiple of that marks the stream, a longer silence ends it.
@@ -46,11 +47,15 @@
 class _Pending:
     """A call that this side made and that has no whole answer yet."""
 
-    event: anyio.Event
+    done: asyncio.Future
     answer: object = None
     body: object = field(default_factory=bytearray)
     length: int = 0
 
+    def finish(self):
+        if not self.done.done():
+            self.done.set_result(None)
+
 
 @dataclass(slots=True)
 class _Inbound:
@@ -67,68 +72,84 @@
     """Bytes of a body that may still be sent, and how to wait for more."""
 
     credit: int = WINDOW_BYTES
-    event: anyio.Event = field(default_factory=anyio.Event)
+    event: asyncio.Event = field(default_factory=asyncio.Event)
 
 
-class PeerStream:
+class PeerStream(asyncio.Protocol):
     """One authenticated stream to another node.
 
     Parameters
     ----------
-    transport : anyio.abc.ByteStream
-        The connected transport.
     host : object
         The node, which supplies `instance`, `key`, `clock`, `serve_call`,
         `cancel_call`, `exchange_members` and `fetch_configuration`. A host with
         `streams_bodies` gets long bodies as a `BodyPipe`, others as whole bytes.
     opened : bool
         Whether this side opened the connection.
+    on_open : callable, optional
+        Called with the stream once the handshake is done.
     """
 
-    def __init__(self, transport, host, opened):
-        self._transport = transport
+    def __init__(self, host, opened, on_open=None):
+        self._loop = asyncio.get_running_loop()
+        self._transport = None
         self._host = host
         self._opened = opened
+        self._on_open = on_open
         self._packer = msgpack.Packer()
         self._unpacker = msgpack.Unpacker(max_buffer_size=4 * MAX_FRAME_BYTES)
         self._out = []
-        self._wake = anyio.Event()
         self._pending = {}
         self._inbound = {}
         self._windows = {}
+        self._receiving = {}
+        self._tasks = set()
         self._next_id = 1 if opened else 2
         self._streams_bodies = getattr(host, "streams_bodies", False)
-        self._receiving = {}
-        self._last_heard = 0.0
+        self._nonce = os.urandom(NONCE_BYTES)
+        self._expected_proof = None
+        self._handshake_timer = None
+        self._last_heard = host.clock()
         self._checked_at = None
-        self._finishing = False
+        self.established = self._loop.create_future()
         self.closed = False
         self.peer = b""
-        self.tasks = None
 
-    async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
-        """Serve the stream until it ends; raises nothing but cancellation."""
+    # Transport callbacks.
+
+    def connection_made(self, transport):
+        """Begin the handshake."""
+        self._transport = transport
+        guard_socket(transport.get_extra_info("socket"))
+        self._handshake_timer = self._loop.call_later(
+            HANDSHAKE_TIMEOUT_SECONDS, self._give_up_handshake
+        )
+        hello = [int(FrameKind.HELLO), PROTOCOL_VERSION, self._host.instance]
+        self._transport.write(self._packer.pack([*hello, self._nonce]))
+
+    def data_received(self, data):
+        """Dispatch the frames in `data`."""
+        self._last_heard = self._host.clock()
+        self._checked_at = None
         try:
-            async with self._transport:
-                with anyio.fail_after(HANDSHAKE_TIMEOUT_SECONDS):
-                    await self._shake_hands()
-                async with anyio.create_task_group() as tasks:
-                    self.tasks = tasks
-                    task_status.started(self)
-                    tasks.start_soon(self._write)
-                    await self._read()
-                    tasks.cancel_scope.cancel()
-        except* (OSError, anyio.EndOfStream, TimeoutError):
-            pass
-        except* (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            pass
-        except* (FrameError, AuthenticationError, msgpack.UnpackException) as group:
-            self._host.report_refused_peer(self.peer, group.exceptions[0])
-        except* Exception as group:
+            self._unpacker.feed(data)
+            for frame in self._unpacker:
+                if self.closed:
+                    return
+                if self._is_established:
+                    self._dispatch(frame)
+                else:
+                    self._shake_hands(frame)
+        except Exception as error:
             # Whatever a peer manages to trip over must not end the listener.
-            self._host.report_refused_peer(self.peer, group.exceptions[0])
-        finally:
-            self._end()
+            self._host.report_refused_peer(self.peer, error)
+            self.close()
+
+    def connection_lost(self, _error):
+        """Give every call that is under way its outcome."""
+        self._end()
+
+    # Calls.
 
     async def call(self, call):
         """Send `call` and return its `Answer`; never raises for a lost peer."""
@@ -137,19 +158,20 @@
             reason = Reason.PEER_UNREACHABLE if self.closed else Reason.DEADLINE
             return refuse(reason, call)
         call_id = self._take_id()
-        pending = self._pending[call_id] = _Pending(anyio.Event())
+        pending = self._pending[call_id] = _Pending(self._loop.create_future())
+        timer = self._loop.call_later(remaining + VERDICT_GRACE_SECONDS, pending.finish)
         self._send(pack_call(call_id, call, remaining))
+        if not _is_inline(call.body):
+            self._start(self._send_call_body(call_id, call.body))
         try:
-            with anyio.move_on_after(remaining + VERDICT_GRACE_SECONDS):
-                if not _is_inline(call.body):
-                    self.tasks.start_soon(self._send_call_body, call_id, call.body)
-                await pending.event.wait()
+            await pending.done
         finally:
+            timer.cancel()
             self._pending.pop(call_id, None)
             self._stop_sending(call_id)
-            if not pending.event.is_set():
+            if pending.answer is None:
                 self._send([int(FrameKind.CANCEL), call_id])
-        if not pending.event.is_set():
+        if pending.answer is None or not self._is_whole(pending):
             return Answer(Outcome.UNKNOWN, Reason.DEADLINE)
         return pending.answer
 
@@ -163,14 +185,19 @@
 
     def close(self):
         """End the stream; calls without an answer become unknown."""
-        if self.tasks is not None:
-            self.tasks.cancel_scope.cancel()
+        if self._transport is not None:
+            self._flush()
+            self._transport.abort() if self.is_doubtful else self._transport.close()
+        self._end()
 
     @property
     def calls_in_progress(self):
         """Number of calls without a whole answer, and of frames not yet written."""
-        waiting = len(self._pending) + len(self._receiving)
-        return waiting + len(self._inbound) + len(self._out)
+        waiting = len(self._pending) + len(self._receiving) + len(self._inbound)
+        unsent = len(self._out)
+        if self._transport is not None and not self.closed:
+            unsent += self._transport.get_write_buffer_size() > 0
+        return waiting + unsent
 
     @property
     def is_doubtful(self):
@@ -182,7 +209,7 @@
 
     def check(self, now):
         """Ask a silent peer for a sign of life, and end the stream without one."""
-        if self.closed or self.tasks is None:
+        if self.closed or not self._is_established:
             return
         if self._checked_at is not None:
             if now - self._checked_at > SILENT_AFTER_SECONDS:
@@ -194,66 +221,76 @@
             self._send([int(FrameKind.CHECK), 0, None])
 
     async def _ask(self, kind, content):
+        if self.closed:
+            return None
         call_id = self._take_id()
-        pending = self._pending[call_id] = _Pending(anyio.Event())
+        pending = self._pending[call_id] = _Pending(self._loop.create_future())
+        timer = self._loop.call_later(EXCHANGE_TIMEOUT_SECONDS, pending.finish)
         self._send([int(kind), call_id, content])
-        with anyio.move_on_after(EXCHANGE_TIMEOUT_SECONDS):
-            await pending.event.wait()
-        self._pending.pop(call_id, None)
+        try:
+            await pending.done
+        finally:
+            timer.cancel()
+            self._pending.pop(call_id, None)
         return None if isinstance(pending.answer, Answer) else pending.answer
 
     def _take_id(self):
         self._next_id += 2
         return self._next_id
 
-    async def _shake_hands(self):
-        nonce = os.urandom(NONCE_BYTES)
-        hello = [int(FrameKind.HELLO), PROTOCOL_VERSION, self._host.instance, nonce]
-        await self._transport.send(self._packer.pack(hello))
-        frame = await self._receive_one()
+    # Handshake.
+
+    @property
+    def _is_established(self):
+        return self.established.done()
+
+    def _shake_hands(self, frame):
+        if not isinstance(frame, list) or not frame:
+            raise FrameError("frame", type(frame).__name__)
+        if self._expected_proof is None:
+            self._take_hello(frame)
+        elif frame == [FrameKind.PROOF, self._expected_proof]:
+            self._handshake_timer.cancel()
+            self.established.set_result(self)
+            if self._on_open is not None:
+                self._on_open(self)
+        else:
+            raise AuthenticationError(self.peer.hex())
+
+    def _take_hello(self, frame):
         valid = len(frame) == 4 and frame[:2] == [FrameKind.HELLO, PROTOCOL_VERSION]
         if not valid or not isinstance(frame[2], bytes):
             raise FrameError("hello", frame[:2])
         self.peer, peer_nonce = frame[2:]
         own_role, peer_role = (b"o", b"a") if self._opened else (b"a", b"o")
         key = self._host.key
-        proof = prove(key, own_role, nonce, peer_nonce, self._host.instance)
-        await self._transport.send(self._packer.pack([int(FrameKind.PROOF), proof]))
-        frame = await self._receive_one()
-        expected = prove(key, peer_role, peer_nonce, nonce, self.peer)
-        if frame != [FrameKind.PROOF, expected]:
-            raise AuthenticationError(self.peer.hex())
+        proof = prove(key, own_role, self._nonce, peer_nonce, self._host.instance)
+        self._transport.write(self._packer.pack([int(FrameKind.PROOF), proof]))
+        self._expected_proof = prove(key, peer_role, peer_nonce, self._nonce, self.peer)
 
-    async def _receive_one(self):
-        while True:
-            for frame in self._unpacker:
-                if not isinstance(frame, list) or not frame:
-                    raise FrameError("frame", type(frame).__name__)
-                return frame
-            self._unpacker.feed(await self._transport.receive(RECEIVE_BYTES))
+    def _give_up_handshake(self):
+        self._transport.abort()
+        self._end()
 
-    async def _read(self):
-        while True:
-            for frame in self._unpacker:
-                self._dispatch(frame)
-            self._unpacker.feed(await self._transport.receive(RECEIVE_BYTES))
-            self._last_heard = self._host.clock()
-            self._checked_at = None
-
-    async def _write(self):
-        while True:
-            if not self._out:
-                self._wake = anyio.Event()
-                await self._wake.wait()
-            data = b"".join(self._out)
-            self._out.clear()
-            await self._transport.send(data)
+    # Sending.
 
     def _send(self, frame):
         if self.closed:
             return
+        if not self._out:
+            self._loop.call_soon(self._flush)
         self._out.append(self._packer.pack(frame))
-        self._wake.set()
+
+    def _flush(self):
+        if self._out and not self.closed:
+            data = b"".join(self._out)
+            self._out.clear()
+            self._transport.write(data)
+
+    def _start(self, coroutine):
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _send_call_body(self, call_id, body):
         try:
@@ -269,7 +306,7 @@
             async for part in _parts_of(body):
                 for chunk in _chunks_of(part):
                     while window.credit < len(chunk):
-                        window.event = anyio.Event()
+                        window.event.clear()
                         await window.event.wait()
                     if self._windows.get(call_id) is not window:
                         return
@@ -287,6 +324,8 @@
             window.credit = MAX_BODY_BYTES
             window.event.set()
 
+    # Frames.
+
     def _dispatch(self, frame):
         try:
             kind, call_id = FrameKind(frame[0]), frame[1]
@@ -300,6 +339,10 @@
         except (TypeError, ValueError) as error:
             raise FrameError(kind.name.lower(), str(error)) from None
 
+    def _is_whole(self, pending):
+        """Whether the answer can be delivered: complete, or streamed as it comes."""
+        return self._streams_bodies or pending.length == len(pending.answer.body)
+
     def _is_own(self, call_id):
         return call_id % 2 == (1 if self._opened else 0)
 
@@ -347,7 +390,7 @@
         if _is_inline(answer.body):
             del self._inbound[call_id]
         else:
-            self.tasks.start_soon(self._finish_reply, call_id, answer.body)
+            self._start(self._finish_reply(call_id, answer.body))
 
     async def _finish_reply(self, call_id, body):
         try:
@@ -368,7 +411,7 @@
         if not complete:
             self._await_body(call_id, pending, answer)
         if complete or self._streams_bodies:
-            pending.event.set()
+            pending.finish()
 
     def _on_chunk(self, call_id, frame):
         holder = self._holder(call_id)
@@ -395,7 +438,7 @@
             raise FrameError("end", frame[2])
         if self._is_own(call_id):
             holder.answer.body = bytes(holder.body)
-            holder.event.set()
+            holder.finish()
         else:
             holder.call.body = bytes(holder.body)
             self._serve(call_id, holder)
@@ -446,13 +489,19 @@
         pending = self._pending.get(call_id)
         if pending is not None:
             pending.answer = frame[2]
-            pending.event.set()
+            pending.finish()
 
     def _end(self):
+        if self.closed:
+            return
         self.closed = True
+        self._out.clear()
+        self._handshake_timer.cancel()
+        if not self._is_established:
+            self.established.set_result(None)
         for pending in list(self._pending.values()):
             pending.answer = Answer(Outcome.UNKNOWN, Reason.PEER_LOST)
-            pending.event.set()
+            pending.finish()
         for holder in list(self._receiving.values()):
             holder.body.cut()
         self._receiving.clear()
@@ -462,9 +511,8 @@
             if inbound.handle is not None:
                 self._host.cancel_call(inbound.handle)
         self._inbound.clear()
-        for window in list(self._windows.values()):
-            window.credit = MAX_BODY_BYTES
-            window.event.set()
+        for call_id in list(self._windows):
+            self._stop_sending(call_id)
         self._host.report_lost_peer(self)
 
     _LENGTHS = {FrameKind.CANCEL: 2}
--- a/tests/core/test_budgets.py
+++ b/tests/core/test_budgets.py
@@ -49,3 +49,9 @@
         while budget.withdraw("shop", 1.0, 1):
             pass
         assert budget.withdraw("stock", 1.0, 1)
+
+    def test_calls_of_repeated_runs_use_the_budget(self):
+        budget = RepeatBudget(TERMS)
+        for _ in range(6):
+            budget.charge("shop", 1.0)
+        assert not budget.withdraw("shop", 1.0, 1)
