Weigh bytes between failure domains and give up silent peers sooner

Requests to a machine that had fallen silent waited until their time limit.

Change: latency counts by its square in aims, and leaving the own domain is charged by the learned size of the answers. A peer is checked after 0.1 s of silence, and idempotent calls on a doubtful stream are tried elsewhere. What waited in a buffer while the process stood still counts as late. Answers and requests without a long body need no pipe.

--- a/src/ragworthoist/core/budgets.py
+++ b/src/ragworthoist/core/budgets.py
@@ -52,7 +52,7 @@
         window.requests.append(now)
 
     def charge(self, service, now):
-        """Count a repeat that was decided elsewhere, such as a call of a repeated run."""
+        """Count a repeat decided elsewhere, such as a call of a repeated run."""
         self._window(service, now).repeats.append(now)
 
     def withdraw(self, service, now, fleet_size):
--- a/src/ragworthoist/core/placement.py
+++ b/src/ragworthoist/core/placement.py
@@ -1,8 +1,9 @@
 """Choice of an endpoint by what a call there is expected to cost.
 
-The cost of an endpoint is counted in aims, the latency that the route aims at: the
-latency learned for the kind, the load that the endpoint's answers report, its share
-of failures, and a charge for leaving the own failure domain.
+A cost of 1 stands for an answer that is as late as the route's aim. Latency counts
+by its square: well within the aim it matters little, near it everything. To this come
+the load that the endpoint's answers report, its share of failures, and a charge for
+leaving the own failure domain that grows with the learned size of the answers.
 """
 
 from dataclasses import dataclass, field
@@ -12,7 +13,11 @@
 LATENCY_SMOOTHING = 0.1
 FAILURE_SMOOTHING = 0.1
 FORGET_SECONDS = 3.0
-OTHER_DOMAIN_COST = 0.5
+OTHER_DOMAIN_COST = 0.1
+# Bytes between failure domains are paid for; an answer of 5 KB then weighs as much as
+# a latency of six tenths of the aim.
+OTHER_DOMAIN_COST_PER_KB = 0.06
+LATE_COST = 2.0
 OTHER_REGION_COST = 2.0
 FAILURE_COST = 3.0
 LOAD_KNEE = 0.8
@@ -36,6 +41,10 @@
 class Placement(Router):
     """Endpoint choice of one node, by expected cost."""
 
+    def __init__(self, node, random):
+        super().__init__(node, random)
+        self._kilobytes = {}
+
     def state(self, endpoint):
         """Return the `Experience` with the instance id `endpoint`."""
         found = self._states.get(endpoint)
@@ -45,7 +54,21 @@
 
     def choose(self, candidates, kind, aim, now):
         """Return the cheapest of `candidates` for a call of `kind`."""
-        return min(candidates, key=lambda m: self._expected(m, kind, aim, now))
+        if len(candidates) == 1:
+            return candidates[0]
+        distance = OTHER_DOMAIN_COST
+        distance += OTHER_DOMAIN_COST_PER_KB * self._kilobytes.get(kind, 0.0)
+        return min(
+            candidates, key=lambda m: self._expected(m, kind, aim, distance, now)
+        )
+
+    def record_size(self, kind, size):
+        """Learn the size in bytes of an answer to a call of `kind`."""
+        known = self._kilobytes.get(kind)
+        found = size / 1024
+        if known is not None:
+            found = known + LATENCY_SMOOTHING * (found - known)
+        self._kilobytes[kind] = found
 
     def record_answer(self, endpoint, kind, seconds, load, failed, now):
         """Learn from one call that the endpoint ran."""
@@ -67,13 +90,14 @@
         state.load = load
         state.learned = now
 
-    def _expected(self, member, kind, aim, now):
+    def _expected(self, member, kind, aim, distance, now):
         state = self.state(member.instance)
         age = now - state.learned
         # What was learned long ago counts less, so that an endpoint that was slow
         # is tried again.
         trust = max(0.0, 1.0 - age / FORGET_SECONDS) if state.learned else 0.0
-        cost = trust * state.latencies.get(kind, 0.0) / aim
+        lateness = state.latencies.get(kind, 0.0) / aim
+        cost = trust * min(LATE_COST, lateness * lateness)
         cost += trust * FAILURE_COST * state.failure_share
         cost += trust * LOAD_COST * max(0.0, state.load - LOAD_KNEE)
         cost += state.outstanding * 0.01
@@ -82,7 +106,7 @@
         if member.region != self._node.region:
             cost += OTHER_REGION_COST
         elif member.domain != self._node.domain:
-            cost += OTHER_DOMAIN_COST
+            cost += distance
         if member.instance == self._node.instance:
             cost -= OWN_BONUS
         return cost + TIE_SPREAD * self._random.random()
--- a/src/ragworthoist/core/routing.py
+++ b/src/ragworthoist/core/routing.py
@@ -119,6 +119,10 @@
         if state.failures >= EJECT_AFTER_FAILURES:
             self._eject(state, now)
 
+    def eject_unreachable(self, endpoint, now):
+        """Send nothing to `endpoint` for a while: its node does not answer."""
+        self._eject(self.state(endpoint), now)
+
     def count_ejected(self, now):
         """Return how many endpoints are ejected at `now`."""
         return sum(1 for s in self._states.values() if s.ejected_until > now)
--- /dev/null
+++ b/src/ragworthoist/core/stalls.py
@@ -0,0 +1,45 @@
+"""How long what arrives now may have waited while the process stood still.
+
+A machine that is suspended, or a process that is stopped, finds requests in its
+buffers when it goes on. Their time limits ran on meanwhile.
+"""
+
+STALL_SECONDS = 0.25
+# Buffers are read empty within this time after a stall.
+CATCH_UP_SECONDS = 0.2
+
+
+class StallMeter:
+    """Measures pauses between the ticks of a process.
+
+    The clock has to go on while the machine stands still.
+
+    Examples
+    --------
+    >>> meter = StallMeter(10.0)
+    >>> meter.measure(10.02), meter.measure(13.0)
+    (0.0, 3.0)
+    >>> meter.tick(13.0)
+    >>> meter.measure(13.1), meter.measure(13.3)
+    (3.0, 0.0)
+    """
+
+    def __init__(self, now):
+        self._last_tick = now
+        self._stalled = 0.0
+        self._caught_up_at = now
+
+    def tick(self, now):
+        """Note that the process runs at `now`."""
+        gap = now - self._last_tick
+        if gap > STALL_SECONDS:
+            self._stalled = gap
+            self._caught_up_at = now + CATCH_UP_SECONDS
+        self._last_tick = now
+
+    def measure(self, now):
+        """Return the seconds that what is read at `now` may have waited."""
+        gap = now - self._last_tick
+        if gap > STALL_SECONDS:
+            return gap
+        return self._stalled if now < self._caught_up_at else 0.0
--- a/src/ragworthoist/edge/dispatching.py
+++ b/src/ragworthoist/edge/dispatching.py
@@ -19,13 +19,6 @@
         Reason.NO_CONFIGURATION,
     }
 )
-_ENDPOINT_FAILURES = frozenset(
-    {
-        Reason.PEER_UNREACHABLE,
-        Reason.PEER_LOST,
-        Reason.SERVER_UNREACHABLE,
-    }
-)
 _RUN_FAILURES = frozenset(
     {Reason.SERVER_LOST, Reason.SERVER_GARBLED, Reason.SERVER_ERROR, Reason.PEER_LOST}
 )
@@ -116,12 +109,16 @@
         node.placement.record_end(
             endpoint.instance,
             now,
-            failed=answer.reason in _ENDPOINT_FAILURES,
+            failed=answer.reason is Reason.SERVER_UNREACHABLE,
             shed=answer.reason in (Reason.SHED, Reason.SERVER_REFUSED),
             leaving=answer.reason in (Reason.LEAVING, Reason.SERVER_UNVERIFIED),
         )
+        if answer.reason in (Reason.PEER_UNREACHABLE, Reason.PEER_LOST):
+            node.placement.eject_unreachable(endpoint.instance, now)
         if answer.outcome is Outcome.COMPLETED or answer.reason in _RUN_FAILURES:
             failed = answer.reason in _RUN_FAILURES or answer.status >= SERVER_FAULT
+            if not failed and isinstance(answer.body, bytes):
+                node.placement.record_size(call.kind, len(answer.body))
             node.placement.record_answer(
                 endpoint.instance, call.kind, now - started, answer.load, failed, now
             )
--- a/src/ragworthoist/edge/entrance.py
+++ b/src/ragworthoist/edge/entrance.py
@@ -86,7 +86,7 @@
             kind=route.name,
             rank=route.rank,
             weight=1.0,
-            deadline=now + patience,
+            deadline=now + patience - node.stalls.measure(now),
             draw=draw_from(attempt_id),
             allotment=route.max_attempts - 1,
             service=node.splitter.choose(route),
--- a/src/ragworthoist/edge/handover.py
+++ b/src/ragworthoist/edge/handover.py
@@ -18,7 +18,6 @@
     GarbledResponseError,
 )
 from ragworthoist.platform.headers import (
-    attempt_id_of,
     forward_answer_headers,
     make_hand_over_headers,
     read_verdict,
@@ -126,7 +125,7 @@
         return work
 
     def find_parent(self, attempt_id):
-        """Return the call running here for which the server makes the call `attempt_id`.
+        """Return the running call for which the server makes the call `attempt_id`.
 
         Servers have been seen to put a dot and a part of their own behind the id of
         the request they work for. Nothing promises it, so None tells nothing.
@@ -240,9 +239,11 @@
             self._finish(work, answer)
 
     async def _exchange(self, call, remaining):
-        attempt_id = attempt_id_of(call.headers)
+        attempt_id = call.request_id
+        verdict = None
 
         def accepts(response):
+            nonlocal verdict
             verdict = read_verdict(response)
             if verdict.attempt_id:
                 return verdict.attempt_id == attempt_id
@@ -262,12 +263,12 @@
         except GarbledResponseError:
             return Answer(Outcome.UNKNOWN, Reason.SERVER_GARBLED)
         except TimeoutError:
+            self._client.suspect()
             return Answer(Outcome.UNKNOWN, Reason.DEADLINE)
         self._connect_failures = 0
-        return self._judge(response, attempt_id)
+        return self._judge(response, verdict or read_verdict(response), attempt_id)
 
-    def _judge(self, response, attempt_id):
-        verdict = read_verdict(response)
+    def _judge(self, response, verdict, attempt_id):
         status = response.status
         if verdict.is_misdirected:
             self.life.lose(self._clock())
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -16,6 +16,7 @@
 from ragworthoist.core.lifetimes import ServerLife, ServerState
 from ragworthoist.core.placement import Placement
 from ragworthoist.core.routes import Splitter
+from ragworthoist.core.stalls import StallMeter
 from ragworthoist.edge.dispatching import AttemptDispatcher
 from ragworthoist.edge.entrance import AttemptEntrance
 from ragworthoist.edge.following import ConfigurationFollower, StoreDependency
@@ -31,7 +32,7 @@
 from ragworthoist.store import open_store
 
 TICK_SECONDS = 0.02
-CHECK_SECONDS = 0.1
+CHECK_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 2.0
 # A node that has not met all others serves its own clients after this time: a
 # second start of all machines then still ends well before clients give up.
@@ -87,6 +88,7 @@
         self.entrance = Listener(
             AttemptEntrance(self).handle, settings.node.entrance.pair, _log_malformed
         )
+        self.stalls = StallMeter(self.started)
         self.is_ready = False
         self.meeting = None
         self.store = None
@@ -150,7 +152,9 @@
     async def _tick(self):
         while True:
             await anyio.sleep(TICK_SECONDS)
-            self.handover.tick(self.clock())
+            now = self.clock()
+            self.stalls.tick(now)
+            self.handover.tick(now)
 
     async def _check(self):
         while True:
@@ -240,6 +244,7 @@
 
     def serve_call(self, call, reply):
         """Take in a peer's call; return a handle for `cancel_call`."""
+        call.deadline -= self.stalls.measure(self.clock())
         return self.handover.submit(call, reply)
 
     def cancel_call(self, handle):
--- a/src/ragworthoist/net/client.py
+++ b/src/ragworthoist/net/client.py
@@ -16,14 +16,17 @@
     ConnectionLostError,
     GarbledResponseError,
 )
-from ragworthoist.net.bodies import BodyPipe
+from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
 from ragworthoist.net.sockets import guard_socket
 
 CONNECT_TIMEOUT_SECONDS = 0.8
 # Idle connections are dropped after this share of the time the server keeps them.
 IDLE_SHARE = 0.6
 DEFAULT_IDLE_SECONDS = 4.0
-BODILESS = frozenset({204, 304})
+# Silence on all connections that makes those kept doubtful once a request has timed
+# out; a server at work answers something more often.
+SUSPECT_SECONDS = 0.3
+_BODILESS = frozenset({204, 304})
 
 
 @dataclass(slots=True)
@@ -44,16 +47,22 @@
 
 @dataclass(slots=True)
 class _Message:
+    """A response as it arrives; a long body gets a pipe, a short one is joined."""
+
     headers: list = field(default_factory=list)
-    body: object = None
+    parts: list = field(default_factory=list)
+    size: int = 0
+    pipe: object = None
     response: object = None
     is_foreign: bool = False
-    ends_with_connection: bool = False
+    is_framed: bool = False
+    keep_alive: bytes = b""
 
 
 class _Connection(asyncio.Protocol):
     def __init__(self, client):
         self._client = client
+        self._loop = asyncio.get_running_loop()
         self._transport = None
         self._parser = httptools.HttpResponseParser(self)
         self._message = None
@@ -80,6 +89,7 @@
         guard_socket(transport.get_extra_info("socket"))
 
     def data_received(self, data):
+        self._client.last_heard = self._loop.time()
         if self.is_idle:
             # An answer nobody waits for: the connection is out of step.
             self.abort()
@@ -93,7 +103,8 @@
 
     def eof_received(self):
         message = self._message
-        if message is not None and message.ends_with_connection:
+        if message is not None and message.response and not message.is_framed:
+            # Without a length the body ends with its connection.
             self.is_reusable = False
             self._complete()
         return False
@@ -106,7 +117,7 @@
         self._client.forget(self)
 
     def pause_writing(self):
-        self._writable = asyncio.get_running_loop().create_future()
+        self._writable = self._loop.create_future()
 
     def resume_writing(self):
         self._resume_writer()
@@ -120,8 +131,17 @@
         self._message = _Message()
 
     def on_header(self, name, value):
-        if self._message is not None:
-            self._message.headers.append((name.lower(), value))
+        message = self._message
+        if message is None:
+            return
+        name = name.lower()
+        message.headers.append((name, value))
+        if name == b"content-length":
+            message.is_framed = True
+        elif name == b"transfer-encoding":
+            message.is_framed = b"chunked" in value.lower()
+        elif name == b"keep-alive":
+            message.keep_alive = value
 
     def on_headers_complete(self):
         message = self._message
@@ -140,12 +160,9 @@
         if not self._parser.should_keep_alive():
             self.is_reusable = False
         message.response = response
-        message.body = BodyPipe(
-            on_read=self._on_body_read, on_discard=self.abort, on_close=self._on_closed
-        )
-        message.ends_with_connection = not _is_framed(response)
-        self._note_keep_alive(response)
-        if self._is_head or status in BODILESS:
+        if message.keep_alive:
+            self._note_keep_alive(message.keep_alive)
+        if self._is_head or status in _BODILESS:
             if self._is_head:
                 self.is_reusable = False
             self._complete()
@@ -154,9 +171,14 @@
         message = self._message
         if message is None or message.is_foreign:
             return
-        message.body.feed(data)
-        if message.body.is_full:
-            self._deliver(message.body)
+        if message.pipe is None:
+            message.parts.append(data)
+            message.size += len(data)
+            if message.size >= HIGH_WATER_BYTES:
+                self._open_pipe(message)
+            return
+        message.pipe.feed(data)
+        if message.pipe.is_full:
             self._pause()
 
     def on_message_complete(self):
@@ -174,12 +196,11 @@
         """Send one request and return its `Response`."""
         self._accepts = accepts
         self._is_head = is_head
-        self._waiter = asyncio.get_running_loop().create_future()
+        self._waiter = self._loop.create_future()
         try:
             if isinstance(body, BodyPipe):
                 self._transport.write(head)
-                loop = asyncio.get_running_loop()
-                self._sender = loop.create_task(self._send_piped(body))
+                self._sender = self._loop.create_task(self._send_piped(body))
             else:
                 self._transport.write(head + body if body else head)
             return await self._waiter
@@ -209,14 +230,22 @@
             # The client's body broke off, and so does the request.
             self.abort()
 
-    def _deliver(self, body):
-        waiter = self._waiter
-        if waiter is None:
-            return
-        self._message.response.body = body
-        self._waiter = None
-        if not waiter.done():
-            waiter.set_result(self._message.response)
+    def _open_pipe(self, message):
+        """Deliver a long answer before it is complete."""
+        pipe = message.pipe = BodyPipe(
+            on_read=self._on_body_read, on_discard=self.abort, on_close=self._on_closed
+        )
+        for part in message.parts:
+            pipe.feed(part)
+        message.parts.clear()
+        self._deliver(message.response, pipe)
+        self._pause()
+
+    def _deliver(self, response, body):
+        waiter, self._waiter = self._waiter, None
+        response.body = body
+        if waiter is not None and not waiter.done():
+            waiter.set_result(response)
 
     def _complete(self):
         message, self._message = self._message, None
@@ -226,30 +255,26 @@
             # The server has not read the rest of the body; what follows on this
             # connection would be taken for it.
             self.is_reusable = False
-        waiter, self._waiter = self._waiter, None
-        if waiter is not None:
-            message.response.body = message.body.take_all()
-            message.body.end()
-            if not waiter.done():
-                waiter.set_result(message.response)
-        else:
-            message.body.end()
+        if message.pipe is not None:
+            message.pipe.end()
+            return
+        self._deliver(message.response, b"".join(message.parts))
+        self._on_closed()
 
     def _fail(self, error):
         waiter, self._waiter = self._waiter, None
         if waiter is not None and not waiter.done():
             waiter.set_exception(error)
         message, self._message = self._message, None
-        if message is not None and message.body is not None:
-            message.body.cut()
+        if message is not None and message.pipe is not None:
+            message.pipe.cut()
 
     def _on_closed(self):
         # Runs when the body has ended or was cut, in the middle of a callback of
         # the parser: the connection is released once that is over.
-        asyncio.get_running_loop().call_soon(self._client.release, self)
+        self._loop.call_soon(self._client.release, self)
 
-    def _note_keep_alive(self, response):
-        value = response.find_header(b"keep-alive")
+    def _note_keep_alive(self, value):
         if value.startswith(b"timeout="):
             digits = value[len(b"timeout=") :].split(b",")[0].strip()
             if digits.isdigit():
@@ -257,7 +282,8 @@
 
     def _on_body_read(self, _count):
         message = self._message
-        if self._paused and (message is None or not message.body.is_full):
+        pipe = message.pipe if message is not None else None
+        if self._paused and (pipe is None or not pipe.is_full):
             self._paused = False
             if not self.is_lost:
                 self._transport.resume_reading()
@@ -287,6 +313,7 @@
         self._idle = []
         self._open = set()
         self.opened = 0
+        self.last_heard = 0.0
 
     async def __aenter__(self):
         return self
@@ -300,6 +327,15 @@
             connection.abort()
         self._idle.clear()
 
+    def suspect(self):
+        """Drop kept connections if none has brought anything for a while.
+
+        Called when a request got no answer in time: connections may have gone
+        silent without a reset, and the next requests should not meet them.
+        """
+        if asyncio.get_running_loop().time() - self.last_heard > SUSPECT_SECONDS:
+            self.close_idle()
+
     def close_idle(self):
         """Close the connections on which no request is under way."""
         idle, self._idle = self._idle, []
@@ -369,13 +405,3 @@
         self.opened += 1
         self._open.add(connection)
         return connection
-
-
-def _is_framed(response):
-    if response.status in BODILESS:
-        return True
-    return any(
-        name == b"content-length"
-        or (name == b"transfer-encoding" and b"chunked" in value.lower())
-        for name, value in response.headers
-    )
--- a/src/ragworthoist/net/listener.py
+++ b/src/ragworthoist/net/listener.py
@@ -15,7 +15,7 @@
 
 from ragworthoist.core.routes import RequestLimits
 from ragworthoist.exceptions import BodyCutError, CallerGoneError
-from ragworthoist.net.bodies import BodyPipe
+from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
 from ragworthoist.net.sockets import guard_socket
 
 BACKLOG = 1024
@@ -39,23 +39,22 @@
     """
 
     __slots__ = ("_connection", "method", "target", "headers", "body", "keep_alive",
-                 "task", "turn", "has_responded", "is_complete", "pipe", "started",
-                 "expects_continue")  # fmt: skip
+                 "task", "turn", "has_responded", "is_complete", "pipe",
+                 "parts")  # fmt: skip
 
-    def __init__(self, connection, method, target, headers, keep_alive, started):
+    def __init__(self, connection, method, target, headers, keep_alive):
         self._connection = connection
         self.method = method
         self.target = target
         self.headers = headers
         self.body = b""
         self.keep_alive = keep_alive
-        self.started = started
         self.task = None
         self.turn = None
         self.has_responded = False
         self.is_complete = False
         self.pipe = None
-        self.expects_continue = False
+        self.parts = None
 
     def find_header(self, name):
         """Return the value of the header `name` (lower case), empty when absent."""
@@ -94,6 +93,8 @@
         self._headers = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._declared = 0
+        self._expects_continue = False
         self._in_head = False
         self._head_started = 0.0
         self.last_active = 0.0
@@ -158,6 +159,8 @@
         self._in_head = True
         self._head_bytes = 0
         self._body_bytes = 0
+        self._declared = 0
+        self._expects_continue = False
         self._url = []
         self._headers = []
 
@@ -166,7 +169,12 @@
         self._count_head(len(url))
 
     def on_header(self, name, value):
-        self._headers.append((name.lower(), value))
+        name = name.lower()
+        self._headers.append((name, value))
+        if name == b"content-length":
+            self._declared = int(value) if value.isdigit() else 0
+        elif name == b"expect":
+            self._expects_continue = value.lower() == b"100-continue"
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self):
@@ -179,18 +187,11 @@
             b"".join(self._url),
             self._headers,
             self._parser.should_keep_alive(),
-            self._loop.time(),
         )
         self._current = request
-        declared = request.find_header(b"content-length")
-        if declared and int(declared) > self._listener.limits.max_body_bytes:
+        if self._declared > self._listener.limits.max_body_bytes:
             self._refuse(413)
-            return
-        request.pipe = BodyPipe(on_read=self._on_body_read)
-        request.expects_continue = (
-            request.find_header(b"expect").lower() == b"100-continue"
-        )
-        if request.expects_continue and not self._requests:
+        elif self._expects_continue and not self._requests:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data):
@@ -199,25 +200,31 @@
             return
         self._body_bytes += len(data)
         if self._body_bytes > self._listener.limits.max_body_bytes:
-            request.pipe.cut()
+            if request.pipe is not None:
+                request.pipe.cut()
             self._refuse(413)
-            return
-        request.pipe.feed(data)
-        if request.pipe.is_full and request.task is None:
-            request.body = request.pipe
-            self._start(request)
+        elif request.pipe is not None:
+            request.pipe.feed(data)
+        elif self._body_bytes < HIGH_WATER_BYTES:
+            request.parts = request.parts or []
+            request.parts.append(data)
+        else:
+            self._open_pipe(request, data)
 
     def on_message_complete(self):
         request, self._current = self._current, None
         if self._refused or request is None:
             return
         request.is_complete = True
-        request.pipe.end()
-        if request.task is None:
-            request.body = request.pipe.take_all()
-            self._start(request)
-        elif request.has_responded:
-            self._finish(request)
+        if request.pipe is not None:
+            request.pipe.end()
+            if request.has_responded:
+                self._finish(request)
+            return
+        if request.parts:
+            request.body = b"".join(request.parts)
+            request.parts = None
+        self._start(request)
 
     # Answers.
 
@@ -233,9 +240,6 @@
         is_last = len(self._requests) == 1
         ends = close or not request.keep_alive
         ends = ends or (self._listener.is_draining and is_last)
-        if not request.is_complete and request.pipe.is_full:
-            # The rest of a long body is not worth reading for the next request.
-            ends = ends or not self._listener.reads_on
         is_piped = isinstance(body, BodyPipe)
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, _phrase(status))]
         for name, value in headers:
@@ -259,7 +263,8 @@
                 parts.append(body)
             self._transport.write(b"".join(parts))
         request.has_responded = True
-        request.pipe.discard()
+        if request.pipe is not None:
+            request.pipe.discard()
         if ends:
             self._close_after(request)
         elif request.is_complete:
@@ -280,6 +285,14 @@
             raise
         self._transport.write(b"0\r\n\r\n")
 
+    def _open_pipe(self, request, data):
+        """Have a request with a long body handled before it is complete."""
+        request.body = request.pipe = BodyPipe(on_read=self._on_body_read)
+        for part in [*(request.parts or ()), data]:
+            request.pipe.feed(part)
+        request.parts = None
+        self._start(request)
+
     def _start(self, request):
         self._requests.append(request)
         request.task = self._loop.create_task(self._listener.run_handler(request, self))
@@ -317,7 +330,8 @@
         self._loop.call_later(LINGER_SECONDS, self._transport.close)
 
     def _abandon(self, request):
-        request.pipe.cut()
+        if request.pipe is not None:
+            request.pipe.cut()
         if request.turn is not None and not request.turn.done():
             request.turn.set_result(None)
         if not request.has_responded and request.task is not None:
@@ -358,7 +372,8 @@
         if self._gone or self._transport.is_closing():
             return
         current = self._current
-        is_full = current is not None and current.pipe and current.pipe.is_full
+        pipe = current.pipe if current is not None else None
+        is_full = pipe is not None and pipe.is_full
         wants = not is_full and len(self._requests) < MAX_PIPELINED
         if wants != self._reading:
             self._reading = wants
@@ -412,7 +427,6 @@
         self.connections = set()
         self.is_draining = False
         self.closes_idle = False
-        self.reads_on = True
         self.loop = None
 
     async def __aenter__(self):
--- a/src/ragworthoist/net/peers.py
+++ b/src/ragworthoist/net/peers.py
@@ -9,6 +9,9 @@
 from ragworthoist.net.streams import PeerStream
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+# A call does not wait longer for a stream: the handshake takes two round trips, and
+# without it the call can still go elsewhere.
+CALL_PATIENCE_SECONDS = 0.2
 RECONNECT_PAUSE_SECONDS = 0.2
 
 
@@ -68,7 +71,8 @@
         """Send `call` to `member` and return the `Answer`."""
         stream = self._usable(member.instance)
         if stream is None:
-            with anyio.move_on_after(call.deadline - self._clock()):
+            patience = min(CALL_PATIENCE_SECONDS, call.deadline - self._clock())
+            with anyio.move_on_after(patience):
                 stream = await self.stream_to(member)
         if stream is None:
             return refuse(Reason.PEER_UNREACHABLE, call)
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -37,9 +37,9 @@
 EXCHANGE_TIMEOUT_SECONDS = 5.0
 # A healthy peer answers a check within its link's round trip and one turn of its
 # event loop; a multiple of that marks the stream, a longer silence ends it.
-CHECK_AFTER_SECONDS = 0.25
+CHECK_AFTER_SECONDS = 0.1
 CHECK_IDLE_SECONDS = 3.0
-DOUBT_AFTER_SECONDS = 0.3
+DOUBT_AFTER_SECONDS = 0.15
 SILENT_AFTER_SECONDS = 1.5
 
 
@@ -51,6 +51,8 @@
     answer: object = None
     body: object = field(default_factory=bytearray)
     length: int = 0
+    idempotent: bool = False
+    gave_up: bool = False
 
     def finish(self):
         if not self.done.done():
@@ -158,7 +160,9 @@
             reason = Reason.PEER_UNREACHABLE if self.closed else Reason.DEADLINE
             return refuse(reason, call)
         call_id = self._take_id()
-        pending = self._pending[call_id] = _Pending(self._loop.create_future())
+        pending = self._pending[call_id] = _Pending(
+            self._loop.create_future(), idempotent=call.idempotent
+        )
         timer = self._loop.call_later(remaining + VERDICT_GRACE_SECONDS, pending.finish)
         self._send(pack_call(call_id, call, remaining))
         if not _is_inline(call.body):
@@ -169,8 +173,10 @@
             timer.cancel()
             self._pending.pop(call_id, None)
             self._stop_sending(call_id)
-            if pending.answer is None:
+            if pending.answer is None or pending.gave_up:
                 self._send([int(FrameKind.CANCEL), call_id])
+        if pending.gave_up:
+            return pending.answer
         if pending.answer is None or not self._is_whole(pending):
             return Answer(Outcome.UNKNOWN, Reason.DEADLINE)
         return pending.answer
@@ -214,12 +220,22 @@
         if self._checked_at is not None:
             if now - self._checked_at > SILENT_AFTER_SECONDS:
                 self.close()
+            elif self.is_doubtful:
+                self._release_idempotent()
             return
         after = CHECK_AFTER_SECONDS if self._pending else CHECK_IDLE_SECONDS
         if now - self._last_heard > after:
             self._checked_at = now
             self._send([int(FrameKind.CHECK), 0, None])
 
+    def _release_idempotent(self):
+        """End calls that may be tried elsewhere without waiting for the peer."""
+        for pending in list(self._pending.values()):
+            if pending.idempotent and pending.answer is None:
+                pending.answer = Answer(Outcome.UNKNOWN, Reason.PEER_LOST)
+                pending.gave_up = True
+                pending.finish()
+
     async def _ask(self, kind, content):
         if self.closed:
             return None
--- a/src/ragworthoist/platform/headers.py
+++ b/src/ragworthoist/platform/headers.py
@@ -95,14 +95,6 @@
     )
 
 
-def attempt_id_of(headers):
-    """Return the attempt's id among `headers`, empty when absent."""
-    for name, value in headers:
-        if name == _ATTEMPT_ID:
-            return value
-    return b""
-
-
 def make_hand_over_headers(remaining, instance):
     """Return the headers that a hand-over adds: seconds left, and the server meant."""
     return [
@@ -113,13 +105,26 @@
 
 def read_verdict(response):
     """Return the `ServerVerdict` in a `Response`."""
+    attempt_id = instance = b""
+    not_run = is_sealed = is_encoded = False
+    for name, value in response.headers:
+        if name == _ATTEMPT_ID:
+            attempt_id = value
+        elif name == _SERVER:
+            instance = value
+        elif name == _NOT_RUN:
+            not_run = True
+        elif name == _SEAL:
+            is_sealed = bool(value)
+        elif name == b"content-encoding":
+            is_encoded = True
     return ServerVerdict(
-        attempt_id=response.find_header(_ATTEMPT_ID),
-        instance=response.find_header(_SERVER).decode("latin1"),
-        not_run=bool(response.find_header(_NOT_RUN)),
-        is_misdirected=response.status == 421,
-        is_sealed=bool(response.find_header(_SEAL)),
-        is_encoded=bool(response.find_header(b"content-encoding")),
+        attempt_id,
+        instance.decode("latin1"),
+        not_run,
+        response.status == 421,
+        is_sealed,
+        is_encoded,
     )
 
 
--- a/src/ragworthoist/platform/store.py
+++ b/src/ragworthoist/platform/store.py
@@ -137,8 +137,7 @@
                 if not isinstance(content, bytes):
                     content = await _read_all(content)
         except TimeoutError:
-            # Other calls on kept connections may hang as well.
-            self._client.close_idle()
+            self._client.suspect()
             raise StoreUnavailableError(operation, "no answer in time") from None
         except ExchangeError as error:
             raise StoreUnavailableError(operation, str(error)) from None
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -39,6 +39,7 @@
             ({"near": {"load": 0.7}}, "near"),
             ({"near": {"failed": True}}, "far"),
             ({"near": {"seconds": 0.1}, "far": {"seconds": 0.3}}, "near"),
+            ({"near": {"seconds": 0.05}, "far": {"seconds": 0.05}}, "near"),
             (
                 {name: {"load": 2.0} for name in ("near", "far", "abroad")},
                 "near",
@@ -74,3 +75,11 @@
         for _ in range(400):
             counts[placement.choose(twins, "order", AIM, 1.0).instance] += 1
         assert min(counts.values()) > 100
+
+    @pytest.mark.parametrize(("size", "chosen"), [(100, FAR), (5000, NEAR)])
+    def test_large_answers_stay_in_the_domain(self, size, chosen):
+        placement = make_placement()
+        placement.record_size("order", size)
+        learn(placement, NEAR, seconds=0.5 * AIM)
+        learn(placement, FAR, seconds=0.1 * AIM)
+        assert placement.choose([NEAR, FAR], "order", AIM, 1.0) == chosen
--- /dev/null
+++ b/tests/edge/test_attempts.py
@@ -0,0 +1,156 @@
+"""Repeats of one attempt: what may follow what, and what the client is told."""
+
+import random
+
+import anyio
+import pytest
+
+from ragworthoist.core.budgets import BudgetTerms, RepeatBudget
+from ragworthoist.core.entities import Answer, Call, Outcome, Reason
+from ragworthoist.core.membership import Member, Membership
+from ragworthoist.core.placement import Placement
+from ragworthoist.edge.dispatching import AttemptDispatcher
+from ragworthoist.net.bodies import BodyPipe
+
+
+class FakePeers:
+    """Answers each attempt with the next entry of a script."""
+
+    def __init__(self, script):
+        self._script = list(script)
+        self.asked = []
+
+    async def call(self, endpoint, call):
+        self.asked.append(endpoint.instance)
+        return self._script.pop(0)
+
+
+class FakeNode:
+    def __init__(self, script, endpoints=4, extra=100.0):
+        self.instance = b"own"
+        self.clock = lambda: self.now
+        self.now = 1.0
+        own = Member(b"own", "desk", "r", "a", "10.0.0.1", 1)
+        self.membership = Membership(own, random.Random(1), 0.0)
+        members = [
+            Member(b"e%d" % n, "shop", "r", "a", f"10.0.1.{n}", 1)
+            for n in range(endpoints)
+        ]
+        self.membership.merge(members, 0.0)
+        self.placement = Placement(own, random.Random(1))
+        self.budget = RepeatBudget(BudgetTerms(0.2, extra, 10.0))
+        self.peers = FakePeers(script)
+        self.handover = None
+
+
+def make_call(idempotent, max_attempts=2, body=b""):
+    return Call(
+        b"id", "order", 0, 1.0, 2.0, 1, max_attempts - 1, "shop", "GET", "/",
+        body=body, idempotent=idempotent,
+    )  # fmt: skip
+
+
+def ok(status=200):
+    return Answer(Outcome.COMPLETED, Reason.ANSWERED, status)
+
+
+def not_run(reason):
+    return Answer(Outcome.NOT_RUN, reason)
+
+
+def unknown(reason):
+    return Answer(Outcome.UNKNOWN, reason)
+
+
+SHED = not_run(Reason.SHED)
+REFUSED = not_run(Reason.SERVER_REFUSED)
+LOST = unknown(Reason.SERVER_LOST)
+
+
+def dispatch(node, call):
+    return anyio.run(AttemptDispatcher(node).dispatch, call, None)
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "max_attempts", "script", "outcome", "attempts"),
+    [
+        (True, 2, [ok()], "completed", 1),
+        (False, 2, [ok()], "completed", 1),
+        (True, 2, [LOST, ok()], "completed", 2),
+        (False, 2, [LOST], "unknown", 1),
+        (True, 1, [LOST], "unknown", 1),
+        (True, 3, [LOST, LOST, LOST], "unknown", 3),
+        (True, 2, [LOST, REFUSED], "unknown", 2),
+        (True, 2, [LOST, SHED, SHED, SHED], "unknown", 4),
+        (False, 2, [REFUSED, ok()], "completed", 2),
+        (False, 2, [REFUSED, REFUSED], "not-run", 2),
+        (False, 1, [REFUSED], "not-run", 1),
+        (False, 2, [REFUSED, LOST], "unknown", 2),
+        (False, 1, [SHED, ok()], "completed", 2),
+        (False, 1, [SHED, SHED, SHED, SHED], "not-run", 4),
+        (False, 1, [not_run(Reason.LEAVING), ok()], "completed", 2),
+        (False, 1, [not_run(Reason.PEER_UNREACHABLE), ok()], "completed", 2),
+        (False, 1, [not_run(Reason.SERVER_UNREACHABLE), ok()], "completed", 2),
+        (True, 2, [unknown(Reason.PEER_LOST), ok()], "completed", 2),
+        (False, 2, [unknown(Reason.PEER_LOST)], "unknown", 1),
+        (True, 2, [unknown(Reason.DEADLINE)], "unknown", 1),
+        (True, 2, [not_run(Reason.DEADLINE)], "not-run", 1),
+        (True, 2, [unknown(Reason.SERVER_GARBLED), ok()], "completed", 2),
+        (False, 2, [unknown(Reason.SERVER_GARBLED)], "unknown", 1),
+    ],
+)
+def test_outcomes(idempotent, max_attempts, script, outcome, attempts):
+    node = FakeNode(script)
+    answer = dispatch(node, make_call(idempotent, max_attempts))
+    assert (answer.outcome.label, len(node.peers.asked)) == (outcome, attempts)
+    assert len(set(node.peers.asked)) == attempts
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "script", "status", "attempts"),
+    [
+        (True, [ok(500), ok(200)], 200, 2),
+        (True, [ok(500), ok(500)], 500, 2),
+        (True, [ok(500), LOST], 500, 2),
+        (True, [ok(500), SHED, SHED, SHED], 500, 4),
+        (False, [ok(500)], 500, 1),
+        (True, [ok(404)], 404, 1),
+    ],
+)
+def test_a_servers_own_failure_is_returned_unless_a_repeat_does_better(
+    idempotent, script, status, attempts
+):
+    node = FakeNode(script)
+    answer = dispatch(node, make_call(idempotent))
+    assert (answer.status, len(node.peers.asked)) == (status, attempts)
+
+
+def test_an_empty_budget_ends_repeats_but_not_refusals_of_nodes():
+    node = FakeNode([LOST], extra=0.0)
+    assert dispatch(node, make_call(True)).outcome is Outcome.UNKNOWN
+    node = FakeNode([SHED, ok()], extra=0.0)
+    assert dispatch(node, make_call(True)).outcome is Outcome.COMPLETED
+
+
+def test_a_streamed_body_that_was_read_is_not_sent_again():
+    pipe = BodyPipe()
+    pipe.touched = True
+    node = FakeNode([LOST])
+    answer = dispatch(node, make_call(True, body=pipe))
+    assert (answer.outcome, len(node.peers.asked)) == (Outcome.UNKNOWN, 1)
+
+
+@pytest.mark.parametrize(("endpoints", "attempts"), [(0, 0), (1, 1)])
+def test_without_another_endpoint_the_first_refusal_stands(endpoints, attempts):
+    node = FakeNode([SHED], endpoints)
+    answer = dispatch(node, make_call(True))
+    assert answer.outcome is Outcome.NOT_RUN
+    assert len(node.peers.asked) == attempts
+
+
+def test_nothing_is_tried_after_the_deadline():
+    node = FakeNode([ok()])
+    node.now = 3.0
+    answer = dispatch(node, make_call(True))
+    assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, Reason.DEADLINE)
+    assert node.peers.asked == []
--- /dev/null
+++ b/tests/edge/test_handover.py
@@ -0,0 +1,193 @@
+"""The last hop: what is handed over, refused, and said about it."""
+
+import asyncio
+
+import pytest
+
+from ragworthoist.core.entities import Call, Outcome, Reason
+from ragworthoist.core.lifetimes import ServerLife, ServerReport
+from ragworthoist.edge.handover import UNTOLD_SLOTS, Handover
+from ragworthoist.exceptions import (
+    ConnectFailedError,
+    ConnectionLostError,
+    GarbledResponseError,
+)
+from ragworthoist.net.client import Response
+
+ATTEMPT = b"a1"
+SEALED = ((b"attempt-id", ATTEMPT), (b"server-seal", b"s"))
+
+
+class FakeClient:
+    """Answers with a fixed result, or when `release` is set."""
+
+    def __init__(self, result=None, waits=False):
+        self._result = result
+        self.waits = waits
+        self.release = asyncio.Event()
+        self.heads = []
+        self.cancelled = 0
+
+    def suspect(self):
+        self.suspected = True
+
+    async def send(self, head, body, accepts, is_head):
+        self.heads.append(head)
+        try:
+            if self.waits:
+                await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if isinstance(self._result, Exception):
+            raise self._result
+        return self._result
+
+
+class Clock:
+    now = 10.0
+
+    def __call__(self):
+        return self.now
+
+
+def report(sequence=1, leaving=False, instance="i-1"):
+    return ServerReport(instance, "shop", "here:1", 4, leaving, sequence)
+
+
+def make_handover(client, clock, ready=True):
+    life = ServerLife("shop", "here:1", drain_seconds=2.0)
+    if ready:
+        life.take(report(), clock.now)
+    return Handover(life, client, clock)
+
+
+def make_call(deadline=20.0, rank=0, request_id=ATTEMPT, aim=1.0):
+    return Call(
+        request_id, "order", rank, 1.0, deadline, 1, 0, "shop", "GET", "/x",
+        headers=[(b"attempt-id", ATTEMPT)], aim=aim,
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("result", "outcome", "reason"),
+    [
+        (Response(200, [*SEALED]), "completed", Reason.ANSWERED),
+        (Response(404, [*SEALED]), "completed", Reason.ANSWERED),
+        (Response(500, [*SEALED]), "completed", Reason.ANSWERED),
+        (Response(200, [(b"attempt-id", ATTEMPT)]), "unknown", Reason.SERVER_GARBLED),
+        (Response(200, [(b"server-seal", b"s")]), "unknown", Reason.SERVER_GARBLED),
+        (
+            Response(200, [*SEALED, (b"content-encoding", b"gzip")]),
+            "unknown",
+            Reason.SERVER_GARBLED,
+        ),
+        (Response(503, [(b"not-executed", b"1")]), "not-run", Reason.SERVER_REFUSED),
+        (Response(400, [(b"not-executed", b"1")]), "not-run", Reason.SERVER_REFUSED),
+        (Response(421, []), "not-run", Reason.SERVER_REFUSED),
+        (Response(503, [*SEALED]), "unknown", Reason.SERVER_ERROR),
+        (Response(429, [*SEALED]), "unknown", Reason.SERVER_ERROR),
+        (Response(408, [*SEALED]), "unknown", Reason.SERVER_ERROR),
+        (ConnectFailedError("a", "b"), "not-run", Reason.SERVER_UNREACHABLE),
+        (ConnectionLostError("a"), "unknown", Reason.SERVER_LOST),
+        (GarbledResponseError("a"), "unknown", Reason.SERVER_GARBLED),
+        (ZeroDivisionError(), "unknown", Reason.SERVER_ERROR),
+    ],
+)
+def test_only_a_refusal_of_the_server_or_no_connection_means_not_run(
+    result, outcome, reason
+):
+    async def run():
+        handover = make_handover(FakeClient(result), Clock())
+        answer = await handover.serve(make_call())
+        assert handover.in_progress == handover.admission.in_flight == 0
+        return answer
+
+    answer = asyncio.run(run())
+    assert (answer.outcome.label, answer.reason) == (outcome, reason)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "reason"),
+    [
+        (lambda h, c: h.life.end("i-1", c.now - 2.0), Reason.LEAVING),
+        (lambda h, c: h.life.lose(c.now), Reason.SERVER_UNVERIFIED),
+        (lambda h, c: setattr(h, "is_leaving", True), Reason.LEAVING),
+        (lambda h, c: setattr(c, "now", 20.0), Reason.DEADLINE),
+    ],
+)
+def test_nothing_is_handed_to_a_server_that_must_not_get_it(prepare, reason):
+    async def run():
+        client, clock = FakeClient(Response(200, [*SEALED])), Clock()
+        handover = make_handover(client, clock)
+        prepare(handover, clock)
+        return await handover.serve(make_call()), client.heads
+
+    answer, heads = asyncio.run(run())
+    assert (answer.outcome, answer.reason, heads) == (Outcome.NOT_RUN, reason, [])
+
+
+def test_what_waits_when_the_drain_time_ends_is_refused():
+    async def run():
+        client, clock = FakeClient(Response(200, [*SEALED]), waits=True), Clock()
+        handover = make_handover(client, clock)
+        calls = [
+            asyncio.create_task(handover.serve(make_call(request_id=b"%d" % n)))
+            for n in range(UNTOLD_SLOTS + 3)
+        ]
+        while len(client.heads) < UNTOLD_SLOTS:
+            await asyncio.sleep(0)
+        handover.life.take(report(2, leaving=True), clock.now)
+        clock.now += 1.5
+        handover.tick(clock.now)
+        client.release.set()
+        return await asyncio.gather(*calls), client.heads
+
+    answers, heads = asyncio.run(run())
+    refused = [a for a in answers if a.outcome is Outcome.NOT_RUN]
+    assert (len(refused), len(heads)) == (3, UNTOLD_SLOTS)
+
+
+def test_a_cancelled_call_ends_at_the_server_and_frees_its_place():
+    async def run():
+        client = FakeClient(waits=True)
+        handover = make_handover(client, Clock())
+        work = handover.submit(make_call(), lambda answer: None)
+        while not client.heads:
+            await asyncio.sleep(0)
+        handover.cancel(work)
+        while handover.in_progress:
+            await asyncio.sleep(0)
+        return client.cancelled, handover.admission.in_flight
+
+    assert asyncio.run(run()) == (1, 0)
+
+
+def test_a_long_queue_refuses_what_would_come_late():
+    async def run():
+        client = FakeClient(Response(200, [*SEALED]), waits=True)
+        handover = make_handover(client, Clock())
+        handover.admission.service_time = 1.0
+        reasons = []
+        for number in range(UNTOLD_SLOTS + 3):
+            call = make_call(request_id=b"%d" % number, aim=0.3)
+            handover.submit(call, lambda answer: reasons.append(answer.reason))
+        return reasons
+
+    # One call ahead takes 1/16 s: a quarter of the aim is passed at the second.
+    assert asyncio.run(run()) == [Reason.SHED] * 2
+
+
+def test_the_parent_of_an_onward_call_is_found_while_it_runs():
+    async def run():
+        client = FakeClient(Response(200, [*SEALED]), waits=True)
+        handover = make_handover(client, Clock())
+        task = asyncio.create_task(handover.serve(make_call()))
+        while not client.heads:
+            await asyncio.sleep(0)
+        found = [handover.find_parent(i) for i in (b"a1.b", b"a1", b"a2.b", b"a1.b.c")]
+        client.release.set()
+        await task
+        return [call is not None for call in found], handover.find_parent(b"a1.b")
+
+    assert asyncio.run(run()) == ([True, False, False, False], None)
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -226,3 +226,19 @@
                 return response.body, client._idle
 
         assert asyncio.run(run()) == (b"ok", [])
+
+    @pytest.mark.parametrize(("silence", "kept"), [(0.0, 1), (10.0, 0)])
+    def test_kept_connections_are_dropped_after_a_silent_timeout(self, silence, kept):
+        async def run():
+            async with (
+                asyncio.timeout(HANG_SECONDS),
+                ScriptedServer([whole()]) as server,
+                HttpClient(server.address) as client,
+            ):
+                await client.send(HEAD % b"1", b"", accepts(b"1"))
+                await asyncio.sleep(0)
+                client.last_heard -= silence
+                client.suspect()
+                return len(client._idle)
+
+        assert asyncio.run(run()) == kept
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -9,7 +9,13 @@
 
 from ragworthoist.core.entities import Call, Outcome, Reason
 from ragworthoist.net.frames import MAX_BODY_BYTES, FrameKind, pack_call
-from ragworthoist.net.streams import PeerStream
+from ragworthoist.net.streams import (
+    CHECK_AFTER_SECONDS,
+    CHECK_IDLE_SECONDS,
+    DOUBT_AFTER_SECONDS,
+    SILENT_AFTER_SECONDS,
+    PeerStream,
+)
 
 KEY = b"k" * 32
 HANG_SECONDS = 120.0
@@ -302,3 +308,74 @@
 
         result = anyio.run(lambda: run_pair(scenario))
         assert result == ([[1, 2], "ours"], b"document")
+
+
+class FakeClock:
+    """The loop's time plus what a test lets pass."""
+
+    def __init__(self):
+        self.passed = 0.0
+
+    def __call__(self):
+        return anyio.current_time() + self.passed
+
+
+class SilentTransport:
+    """Takes everything and passes nothing on, like a link without power."""
+
+    def __init__(self, transport):
+        self._transport = transport
+
+    def __getattr__(self, name):
+        return getattr(self._transport, name)
+
+    def write(self, data):
+        pass
+
+
+class TestSilence:
+    @pytest.mark.parametrize("idempotent", [True, False])
+    def test_a_call_on_a_silent_stream_ends_unknown(self, idempotent):
+        clock = FakeClock()
+
+        async def scenario(stream, _acceptor):
+            stream._transport = SilentTransport(stream._transport)
+            call = make_call(deadline=clock() + 100.0)
+            call.idempotent = idempotent
+            ended = []
+
+            async def ask():
+                answer = await stream.call(call)
+                ended.append((answer.outcome, answer.reason, stream.closed))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0)
+                for seconds in (CHECK_AFTER_SECONDS, DOUBT_AFTER_SECONDS):
+                    clock.passed += seconds + 0.01
+                    stream.check(clock())
+                assert stream.is_doubtful
+                clock.passed += SILENT_AFTER_SECONDS
+                await anyio.sleep(0)
+                stream.check(clock())
+            return ended
+
+        opener = FakeHost(b"opener00")
+        opener.clock = clock
+        [ended] = anyio.run(lambda: run_pair(scenario, opener))
+        # Only a call that may be repeated is given up before the stream is.
+        assert ended == (Outcome.UNKNOWN, Reason.PEER_LOST, not idempotent)
+
+    def test_a_stream_that_answers_is_not_doubted(self):
+        clock = FakeClock()
+
+        async def scenario(stream, _acceptor):
+            clock.passed += CHECK_IDLE_SECONDS + 0.1
+            stream.check(clock())
+            while stream._checked_at is not None:
+                await anyio.sleep(0)
+            return stream.is_doubtful, stream.closed
+
+        opener = FakeHost(b"opener00")
+        opener.clock = clock
+        assert anyio.run(lambda: run_pair(scenario, opener)) == (False, False)
