Find processes that start while the store is away, and stop taking work in time

Change: addresses at which a process ended lately, gracefully too, are called by a bounded number of nodes, which also tells the new process where to get the configuration. In the last phase of a stop no new connections are taken, and what comes behind an answer under way is left unread.

--- a/src/ragworthoist/core/membership.py
+++ b/src/ragworthoist/core/membership.py
@@ -18,6 +18,12 @@
 PAUSE_SECONDS = 2.0
 DEAD_PROBE_INTERVAL_SECONDS = 3.0
 DEAD_RETENTION_SECONDS = 6 * 3600.0
+# A process that has gone is often started again at its address, and may then have no
+# other way to find the fleet: the address is called often for a while, by a number of
+# nodes that does not grow with the fleet.
+RECENT_SECONDS = 60.0
+RECENT_PROBE_INTERVAL_SECONDS = 0.5
+RECENT_PROBES = 8
 SYNC_INTERVAL_SECONDS = 5.0
 INDIRECT_PROBES = 3
 UPDATES_PER_DATAGRAM = 6
@@ -176,6 +182,7 @@
         self._last_tick = now
         self._next_probe = now
         self._next_dead_probe = now
+        self._next_recent_probe = now
         self._next_sync = now
         self._digest = 0
         self._store(node, now)
@@ -195,6 +202,9 @@
         if now >= self._next_dead_probe:
             self._next_dead_probe = now + DEAD_PROBE_INTERVAL_SECONDS
             self._probe_dead(now, out)
+        if self._dead_since and now >= self._next_recent_probe:
+            self._next_recent_probe = now + RECENT_PROBE_INTERVAL_SECONDS
+            self._probe_recent(now, out)
         return out
 
     def receive(self, message, address, now):
@@ -367,6 +377,22 @@
         if dead:
             out.append(self._make(MessageKind.PING, self._random.choice(dead)))
 
+    def _probe_recent(self, now, out):
+        """Call addresses at which a process ended lately and none is known to run."""
+        share = RECENT_PROBES / (len(self.members) + 1)
+        taken = {m.address for m in self.members.values() if m.is_present}
+        called = set()
+        for instance, since in self._dead_since.items():
+            member = self.members[instance]
+            if now - since > RECENT_SECONDS or member.address in taken | called:
+                continue
+            called.add(member.address)
+            if self._random.random() < share:
+                message, address = self._make(MessageKind.PING, member)
+                # Whoever has started there knows nobody yet.
+                message.updates.append(self.node)
+                out.append((message, address))
+
     def _answer_ping(self, message, address, out):
         matches = message.target in (b"", self.node.instance)
         kind = MessageKind.ACK if matches else MessageKind.MISMATCH
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -41,7 +41,7 @@
 ENTRANCE_GRACE_SECONDS = 2.6
 PEERS_GRACE_SECONDS = 1.0
 # What is left of the time until SIGKILL for closing down.
-EXIT_RESERVE_SECONDS = 0.4
+EXIT_RESERVE_SECONDS = 0.8
 DRAIN_POLL_SECONDS = 0.05
 GREETED_AT_MOST = 24
 OPENED_AT_MOST = 64
@@ -291,7 +291,7 @@
         self.handover.is_leaving = True
         await self.meeting.leave()
         await anyio.sleep(max(0.0, ENTRANCE_GRACE_SECONDS - PEERS_GRACE_SECONDS))
-        self.entrance.close_idle()
+        self.entrance.stop_accepting()
         while self.clock() < end and (self.in_progress or self.entrance.connections):
             await anyio.sleep(DRAIN_POLL_SECONDS)
         await self.datagrams.send(self.membership.depart(self.clock()))
--- a/src/ragworthoist/net/listener.py
+++ b/src/ragworthoist/net/listener.py
@@ -294,9 +294,21 @@
         self._start(request)
 
     def _start(self, request):
+        if self._listener.closes_idle:
+            self._turn_away(request)
+            return
         self._requests.append(request)
         request.task = self._loop.create_task(self._listener.run_handler(request, self))
 
+    def _turn_away(self, request):
+        """Leave a request to another node: this one ends before it could be served."""
+        if self._requests:
+            # The answer under way ends the connection, and what came behind it
+            # counts as not read.
+            request.has_responded = True
+        else:
+            self._refuse(503)
+
     def fail(self, request):
         """End the connection: `request` gets no answer or no whole one."""
         if self._refused and request is self._current:
@@ -458,8 +470,9 @@
         """Ask clients to close: answers end their connections from now on."""
         self.is_draining = True
 
-    def close_idle(self):
-        """Close connections that have no request in progress."""
+    def stop_accepting(self):
+        """Take no new connections and close those without a request in progress."""
+        self._server.close()
         self.closes_idle = True
 
     async def run_handler(self, request, connection):
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -6,6 +6,7 @@
 
 from ragworthoist.core.membership import (
     PAUSE_SECONDS,
+    RECENT_PROBE_INTERVAL_SECONDS,
     SUSPICION_SECONDS,
     Member,
     Membership,
@@ -33,14 +34,15 @@
         for number in range(size):
             self.start(("10.0.0.1", number))
 
-    def start(self, address):
+    def start(self, address, alone=False):
         self.started += 1
         domain = "ab"[address[1] % 2]
         name = f"{self.started:08}".encode()
         member = Member(name, "stock", "main", domain, *address)
         table = Membership(member, random.Random(self.started), self.now)
         for other in self.tables.values():
-            self.exchange(table, other)
+            if not alone:
+                self.exchange(table, other)
         self.tables[address] = table
 
     def exchange(self, one, other):
@@ -178,6 +180,24 @@
 
         assert all(old not in view for view in network.views())
 
+    @pytest.mark.parametrize("size", [3, 40])
+    @pytest.mark.parametrize("graceful", [True, False])
+    def test_a_process_that_starts_again_alone_is_found(self, size, graceful):
+        network = Network(size)
+        network.run(5.0)
+        for table in network.tables.values():
+            table.configuration_version = 7
+        address = ("10.0.0.1", 0)
+        if graceful:
+            network.deliver(address, network.tables[address].depart(network.now))
+        del network.tables[address]
+        network.run(2 * SUSPICION_SECONDS + size)
+        network.start(address, alone=True)
+        network.run(3 * RECENT_PROBE_INTERVAL_SECONDS)
+        found = network.tables[address]
+        assert found.peers()
+        assert found.newer_configuration in found.members
+
     def test_a_leaving_node_is_no_endpoint_and_still_present(self):
         network = Network(4)
         network.run(5.0)
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -241,3 +241,53 @@
                 return [a[1].get("connection") for a in [before, *after]]
 
         assert asyncio.run(run()) == [None, None, "close"]
+
+    def test_a_listener_that_stops_finishes_what_it_has_and_takes_nothing_new(self):
+        async def run():
+            started, release = asyncio.Event(), asyncio.Event()
+
+            async def handle(request):
+                started.set()
+                await release.wait()
+                await request.respond(200, [], b"done")
+
+            async with serve(handle) as (listener, reader, writer):
+                address = listener._server.sockets[0].getsockname()
+                writer.write(GET % b"/")
+                await started.wait()
+                listener.drain()
+                listener.stop_accepting()
+                with pytest.raises(OSError):
+                    await asyncio.open_connection(*address)
+                release.set()
+                return await read_answer(reader)
+
+        status, headers, body = asyncio.run(run())
+        assert (status, headers["connection"], body) == (200, "close", b"done")
+
+    @pytest.mark.parametrize(("ahead", "statuses"), [(0, [503]), (1, [200])])
+    def test_what_comes_in_the_last_moments_is_not_started(self, ahead, statuses):
+        async def run():
+            started, release = asyncio.Event(), asyncio.Event()
+            targets = []
+
+            async def handle(request):
+                targets.append(request.target)
+                started.set()
+                await release.wait()
+                await request.respond(200)
+
+            async with serve(handle) as (listener, reader, writer):
+                if ahead:
+                    writer.write(GET % b"/ahead")
+                    await started.wait()
+                listener.drain()
+                listener.closes_idle = True
+                writer.write(GET % b"/late")
+                await asyncio.sleep(0.01)
+                release.set()
+                found = [(await read_answer(reader))[0] for _ in statuses]
+                assert await reader.read() == b""
+                return found, targets
+
+        assert asyncio.run(run()) == (statuses, [b"/ahead"] * ahead)
