Never hand over a call that admission has refused

And the start of a process counted as a stall, which left the first calls 22 of 600 ms.

Change: only an entry that was admitted is handed over; the first tick begins the measurement of stalls.

Ruled out: answers of other requests on the connection, lost answers, a route taken for idempotent (the log showed none of them).

--- a/src/ragworthoist/core/stalls.py
+++ b/src/ragworthoist/core/stalls.py
@@ -16,7 +16,8 @@
 
     Examples
     --------
-    >>> meter = StallMeter(10.0)
+    >>> meter = StallMeter()
+    >>> meter.tick(10.0)
     >>> meter.measure(10.02), meter.measure(13.0)
     (0.0, 3.0)
     >>> meter.tick(13.0)
@@ -24,14 +25,14 @@
     (3.0, 0.0)
     """
 
-    def __init__(self, now):
-        self._last_tick = now
+    def __init__(self):
+        self._last_tick = None
         self._stalled = 0.0
-        self._caught_up_at = now
+        self._caught_up_at = 0.0
 
     def tick(self, now):
         """Note that the process runs at `now`."""
-        gap = now - self._last_tick
+        gap = 0.0 if self._last_tick is None else now - self._last_tick
         if gap > STALL_SECONDS:
             self._stalled = gap
             self._caught_up_at = now + CATCH_UP_SECONDS
@@ -39,7 +40,7 @@
 
     def measure(self, now):
         """Return the seconds that what is read at `now` may have waited."""
-        gap = now - self._last_tick
+        gap = 0.0 if self._last_tick is None else now - self._last_tick
         if gap > STALL_SECONDS:
             return gap
         return self._stalled if now < self._caught_up_at else 0.0
--- a/src/ragworthoist/edge/handover.py
+++ b/src/ragworthoist/edge/handover.py
@@ -120,9 +120,9 @@
         self.in_progress += 1
         work.entry = Entry(call, now, lambda entry: self._on_decided(work))
         self.admission.offer(work.entry, now)
-        if work.entry.state is EntryState.WAITING:
+        if work.entry.state is not EntryState.RUNNING:
             work.is_inline = False
-        return work
+        return None if work.entry.state is EntryState.SHED else work
 
     def find_parent(self, attempt_id):
         """Return the running call for which the server makes the call `attempt_id`.
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -88,7 +88,7 @@
         self.entrance = Listener(
             AttemptEntrance(self).handle, settings.node.entrance.pair, _log_malformed
         )
-        self.stalls = StallMeter(self.started)
+        self.stalls = StallMeter()
         self.is_ready = False
         self.meeting = None
         self.store = None
--- a/tests/edge/test_handover.py
+++ b/tests/edge/test_handover.py
@@ -178,6 +178,17 @@
     assert asyncio.run(run()) == [Reason.SHED] * 2
 
 
+def test_a_call_that_admission_refuses_is_not_handed_over():
+    async def run():
+        client = FakeClient(Response(200, [*SEALED]))
+        handover = make_handover(client, Clock())
+        handover.admission.service_time = 100.0
+        answer = await handover.serve(make_call())
+        return answer.outcome, client.heads, handover.in_progress
+
+    assert asyncio.run(run()) == (Outcome.NOT_RUN, [], 0)
+
+
 def test_the_parent_of_an_onward_call_is_found_while_it_runs():
     async def run():
         client = FakeClient(Response(200, [*SEALED]), waits=True)
