Split what grew by job

The entities of the membership, the client's connection, the handshake and the bodies of peer streams get modules of their own; both edges collect outcomes by one function. Behaviour stays as it was.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,7 +21,8 @@
 from ragworthoist import Document
 from ragworthoist._commands import run_command
 from ragworthoist.core.admission import Admission
-from ragworthoist.core.membership import Member, Membership, Message, MessageKind
+from ragworthoist.core.members import Member, Message, MessageKind
+from ragworthoist.core.membership import Membership
 from ragworthoist.core.policy import Policy
 from ragworthoist.core.routing import Router
 from ragworthoist_lab.fleet import Fleet, ServiceSpec
--- a/src/ragworthoist/_fleet.py
+++ b/src/ragworthoist/_fleet.py
@@ -12,7 +12,8 @@
 from msgpack import UnpackException
 
 from ragworthoist.core.configuration import Adoption
-from ragworthoist.core.membership import Member, Membership
+from ragworthoist.core.members import Member
+from ragworthoist.core.membership import Membership
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import DocumentError
 from ragworthoist.net.datagrams import Datagrams
--- a/src/ragworthoist/_outcomes.py
+++ b/src/ragworthoist/_outcomes.py
@@ -56,3 +56,20 @@
         """Yield (kind, rank, `KindOutcomes`) in order."""
         for (kind, rank), entry in sorted(self._kinds.items()):
             yield kind, rank, entry
+
+
+def collect_outcomes(table, name_rank, requests, latency):
+    """Set the metrics `requests` and `latency` from an `OutcomeTable`.
+
+    `name_rank` returns the label of a rank.
+    """
+    for kind, rank, entry in table.rows():
+        labels = {"kind": kind, "rank": name_rank(rank)}
+        for (outcome, reason), count in entry.counts.items():
+            found = labels | {"outcome": outcome.label, "reason": reason.value}
+            requests.set(found, count)
+        total = 0
+        bounds = [*map(str, LATENCY_BOUNDS_SECONDS), "+Inf"]
+        for bound, count in zip(bounds, entry.latencies, strict=True):
+            total += count
+            latency.set(labels | {"le": bound}, total)
--- a/src/ragworthoist/edge/joining.py
+++ b/src/ragworthoist/edge/joining.py
@@ -9,7 +9,7 @@
 import msgpack
 
 from ragworthoist._keeping import peers_prefix
-from ragworthoist.core.membership import Member
+from ragworthoist.core.members import Member
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import StoreError
 
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -2,7 +2,7 @@
 
 import json
 
-from ragworthoist._outcomes import LATENCY_BOUNDS_SECONDS
+from ragworthoist._outcomes import collect_outcomes
 
 _TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
 _JSON = ((b"content-type", b"application/json"),)
@@ -99,16 +99,7 @@
         requests, latency, store, limit, in_flight, waiting, version, members,
     ):  # fmt: skip
         registry.register(collector)
-    for kind, rank, entry in node.outcomes.rows():
-        labels = {"kind": kind, "rank": str(rank)}
-        for (outcome, reason), count in entry.counts.items():
-            found = labels | {"outcome": outcome.label, "reason": reason.value}
-            requests.set(found, count)
-        total = 0
-        bounds = [*map(str, LATENCY_BOUNDS_SECONDS), "+Inf"]
-        for bound, count in zip(bounds, entry.latencies, strict=True):
-            total += count
-            latency.set(labels | {"le": bound}, total)
+    collect_outcomes(node.outcomes, str, requests, latency)
     for kind, count in node.store.calls.items():
         store.set({"kind": kind}, count)
     limit.set({}, node.handover.admission.limiter.limit)
--- a/src/ragworthoist/net/frames.py
+++ b/src/ragworthoist/net/frames.py
@@ -12,7 +12,7 @@
 import msgpack
 
 from ragworthoist.core.entities import Answer, Call, Outcome, Reason
-from ragworthoist.core.membership import Message
+from ragworthoist.core.members import Message
 from ragworthoist.exceptions import AuthenticationError, FrameError
 
 PROTOCOL_VERSION = 1
--- a/src/ragworthoist/net/operators.py
+++ b/src/ragworthoist/net/operators.py
@@ -6,7 +6,7 @@
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.formats import text
 
-from ragworthoist._outcomes import LATENCY_BOUNDS_SECONDS
+from ragworthoist._outcomes import collect_outcomes
 from ragworthoist.core.limits import MAX_LIMIT
 from ragworthoist.net.web import find_header, respond
 
@@ -129,7 +129,9 @@
     members = Gauge("ragworthoist_members", "Members by state")
     for collector in (requests, latency, limit, in_flight, waiting, version, members):
         registry.register(collector)
-    _collect_outcomes(node, requests, latency)
+    collect_outcomes(
+        node.outcomes, lambda rank: _rank_name(node, rank), requests, latency
+    )
     limit.set({}, min(node.serving.admission.limiter.limit, MAX_LIMIT))
     in_flight.set({}, node.serving.admission.in_flight)
     waiting.set({}, len(node.serving.admission))
@@ -139,19 +141,6 @@
     return registry
 
 
-def _collect_outcomes(node, requests, latency):
-    for kind, rank, entry in node.outcomes.rows():
-        labels = {"kind": kind, "rank": _rank_name(node, rank)}
-        for (outcome, reason), count in entry.counts.items():
-            found = labels | {"outcome": outcome.label, "reason": reason.value}
-            requests.set(found, count)
-        total = 0
-        bounds = [*map(str, LATENCY_BOUNDS_SECONDS), "+Inf"]
-        for bound, count in zip(bounds, entry.latencies, strict=True):
-            total += count
-            latency.set(labels | {"le": bound}, total)
-
-
 def _describe_member(member):
     return {
         "instance": member.instance.hex(),
--- /dev/null
+++ b/src/ragworthoist/net/requests.py
@@ -0,0 +1,435 @@
+"""One connection of a client, on httptools.
+
+Requests on one connection are handled side by side and answered in order. Bodies
+are streamed under flow control, and an answer that cannot be completed ends its
+connection, so that it never looks whole. uvicorn's protocol does neither; see
+docs/PLATFORM.md.
+"""
+
+import asyncio
+from collections import deque
+from http import HTTPStatus
+
+import httptools
+
+from ragworthoist.exceptions import BodyCutError, CallerGoneError
+from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
+from ragworthoist.net.sockets import guard_socket
+
+# A client that sends more requests ahead than this waits for its answers.
+MAX_PIPELINED = 16
+IDLE_MARGIN_SECONDS = 0.5
+# Enough for what a client has under way when the answer reaches it.
+LINGER_SECONDS = 1.0
+
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
+_FRAMING = frozenset(
+    {b"connection", b"content-length", b"keep-alive", b"transfer-encoding", b"upgrade"}
+)
+
+
+class Request:
+    """One request of a client, and the way to answer it.
+
+    `body` is the whole body where it is short and complete, else a `BodyPipe`.
+    """
+
+    __slots__ = ("_connection", "method", "target", "headers", "body", "keep_alive",
+                 "task", "turn", "has_responded", "is_complete", "pipe",
+                 "parts")  # fmt: skip
+
+    def __init__(self, connection, method, target, headers, keep_alive):
+        self._connection = connection
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = b""
+        self.keep_alive = keep_alive
+        self.task = None
+        self.turn = None
+        self.has_responded = False
+        self.is_complete = False
+        self.pipe = None
+        self.parts = None
+
+    def find_header(self, name):
+        """Return the value of the header `name` (lower case), empty when absent."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return b""
+
+    async def respond(self, status, headers=(), body=b"", close=False):
+        """Send the answer once those before it are complete.
+
+        Parameters
+        ----------
+        headers : iterable of (bytes, bytes)
+            Headers that travel end to end.
+        body : bytes or BodyPipe
+            The body, streamed if it is a pipe.
+
+        Raises
+        ------
+        CallerGoneError
+            If the client has closed its connection.
+        """
+        await self._connection.respond(self, status, headers, body, close)
+
+
+class ClientConnection(asyncio.Protocol):
+    """Reads the requests of one connection and writes their answers.
+
+    Parameters
+    ----------
+    listener : Listener
+        Supplies `loop`, `limits`, `run_handler`, and whether the node is ending.
+    """
+
+    def __init__(self, listener):
+        self._listener = listener
+        self._loop = listener.loop
+        self._transport = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests = deque()
+        self._current = None
+        self._url = []
+        self._headers = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._declared = 0
+        self._expects_continue = False
+        self._in_head = False
+        self._head_started = 0.0
+        self.last_active = 0.0
+        self._writable = None
+        self._reading = True
+        self._closing = False
+        self._refused = False
+        self._gone = False
+
+    # Transport callbacks.
+
+    def connection_made(self, transport):
+        """Begin to read requests."""
+        self._transport = transport
+        guard_socket(transport.get_extra_info("socket"))
+        self.last_active = self._loop.time()
+        self._listener.connections.add(self)
+
+    def connection_lost(self, _error):
+        """End the work for a client that has gone."""
+        self._gone = True
+        self._listener.connections.discard(self)
+        self._resume_writer()
+        for request in list(self._requests):
+            self._abandon(request)
+        self._requests.clear()
+
+    def eof_received(self):
+        """Take a client that has closed its side for gone."""
+        if self._closing or self._refused:
+            self._transport.close()
+            return False
+        # A client that has closed its side does not wait for answers.
+        self._transport.abort()
+        return False
+
+    def data_received(self, data):
+        """Parse what a client has sent."""
+        if self._refused or self._closing:
+            return
+        self.last_active = self._loop.time()
+        if not self._in_head and self._current is None:
+            self._head_started = self.last_active
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            if not self._refused:
+                self._refuse(400)
+        if self._in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > self._listener.limits.max_head_bytes:
+                self._refuse(431)
+        self._control_reading()
+
+    def pause_writing(self):
+        """Make streamed answers wait: the client reads slowly."""
+        self._writable = self._loop.create_future()
+
+    def resume_writing(self):
+        """Let streamed answers go on."""
+        self._resume_writer()
+
+    # Parser callbacks.
+
+    def on_message_begin(self):
+        """Begin the head of a request."""
+        self._in_head = True
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._declared = 0
+        self._expects_continue = False
+        self._url = []
+        self._headers = []
+
+    def on_url(self, url):
+        """Collect a part of the target."""
+        self._url.append(url)
+        self._count_head(len(url))
+
+    def on_header(self, name, value):
+        """Collect one header."""
+        name = name.lower()
+        self._headers.append((name, value))
+        if name == b"content-length":
+            self._declared = int(value) if value.isdigit() else 0
+        elif name == b"expect":
+            self._expects_continue = value.lower() == b"100-continue"
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self):
+        """Check the head of a request against the limits."""
+        self._in_head = False
+        if self._refused:
+            return
+        request = Request(
+            self,
+            self._parser.get_method().decode("latin1"),
+            b"".join(self._url),
+            self._headers,
+            self._parser.should_keep_alive(),
+        )
+        self._current = request
+        if self._declared > self._listener.limits.max_body_bytes:
+            self._refuse(413)
+        elif self._expects_continue and not self._requests:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data):
+        """Collect or stream a part of the body."""
+        request = self._current
+        if self._refused or request is None:
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > self._listener.limits.max_body_bytes:
+            if request.pipe is not None:
+                request.pipe.cut()
+            self._refuse(413)
+        elif request.pipe is not None:
+            request.pipe.feed(data)
+        elif self._body_bytes < HIGH_WATER_BYTES:
+            request.parts = request.parts or []
+            request.parts.append(data)
+        else:
+            self._open_pipe(request, data)
+
+    def on_message_complete(self):
+        """Have a request handled that is complete."""
+        request, self._current = self._current, None
+        if self._refused or request is None:
+            return
+        request.is_complete = True
+        if request.pipe is not None:
+            request.pipe.end()
+            if request.has_responded:
+                self._finish(request)
+            return
+        if request.parts:
+            request.body = b"".join(request.parts)
+            request.parts = None
+        self._start(request)
+
+    # Answers.
+
+    async def respond(self, request, status, headers, body, close):
+        """Write the answer to `request` in its turn."""
+        if self._gone:
+            raise CallerGoneError
+        if self._requests[0] is not request:
+            request.turn = self._loop.create_future()
+            await request.turn
+        if self._gone:
+            raise CallerGoneError
+        is_last = len(self._requests) == 1
+        ends = close or not request.keep_alive
+        ends = ends or (self._listener.is_draining and is_last)
+        is_piped = isinstance(body, BodyPipe)
+        parts = [b"HTTP/1.1 %d %s\r\n" % (status, _phrase(status))]
+        for name, value in headers:
+            if name not in _FRAMING:
+                parts.append(b"%s: %s\r\n" % (name, value))
+        if ends:
+            parts.append(b"connection: close\r\n")
+        has_body = request.method != "HEAD" and status not in (204, 304)
+        if is_piped and has_body:
+            parts.append(b"transfer-encoding: chunked\r\n\r\n")
+        elif status != 204:
+            parts.append(b"content-length: %d\r\n\r\n" % len(body))
+        else:
+            parts.append(b"\r\n")
+        if is_piped:
+            self._transport.write(b"".join(parts))
+            if has_body:
+                await self._write_piped(body)
+        else:
+            if has_body:
+                parts.append(body)
+            self._transport.write(b"".join(parts))
+        request.has_responded = True
+        if request.pipe is not None:
+            request.pipe.discard()
+        if ends:
+            self._close_after(request)
+        elif request.is_complete:
+            self._finish(request)
+        self._control_reading()
+
+    async def _write_piped(self, body):
+        try:
+            while data := await body.read():
+                self._transport.write(b"%x\r\n" % len(data) + data + b"\r\n")
+                if self._writable is not None:
+                    await self._writable
+                if self._gone:
+                    raise CallerGoneError
+        except BodyCutError:
+            # Without its last chunk the answer is visibly incomplete.
+            self._transport.abort()
+            raise
+        self._transport.write(b"0\r\n\r\n")
+
+    def _open_pipe(self, request, data):
+        """Have a request with a long body handled before it is complete."""
+        request.body = request.pipe = BodyPipe(on_read=self._on_body_read)
+        for part in [*(request.parts or ()), data]:
+            request.pipe.feed(part)
+        request.parts = None
+        self._start(request)
+
+    def _start(self, request):
+        if self._listener.closes_idle:
+            self._turn_away(request)
+            return
+        self._requests.append(request)
+        request.task = self._loop.create_task(self._listener.run_handler(request, self))
+
+    def _turn_away(self, request):
+        """Leave a request to another node: this one ends before it could be served."""
+        if self._requests:
+            # The answer under way ends the connection, and what came behind it
+            # counts as not read.
+            request.has_responded = True
+        else:
+            self._refuse(503)
+
+    def fail(self, request):
+        """End the connection: `request` gets no answer or no whole one."""
+        if self._refused and request is self._current:
+            # Its answer is the refusal that is about to be written.
+            return
+        if not (self._gone or self._closing or request.has_responded):
+            self._transport.abort()
+
+    def _finish(self, request):
+        self._requests.popleft()
+        if self._requests and self._requests[0].turn is not None:
+            turn = self._requests[0].turn
+            if not turn.done():
+                turn.set_result(None)
+        self.last_active = self._loop.time()
+        self._control_reading()
+
+    def _close_after(self, request):
+        self._closing = True
+        for other in list(self._requests)[1:]:
+            self._abandon(other)
+        self._close_gently()
+
+    def _close_gently(self):
+        # Closing with unread bytes resets the connection, and the client may then
+        # lose the answer: what still comes, such as requests sent ahead, is read and
+        # dropped for a moment.
+        self._transport.resume_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(LINGER_SECONDS, self._transport.close)
+
+    def _abandon(self, request):
+        if request.pipe is not None:
+            request.pipe.cut()
+        if request.turn is not None and not request.turn.done():
+            request.turn.set_result(None)
+        if not request.has_responded and request.task is not None:
+            request.task.cancel()
+
+    def _refuse(self, status):
+        """Answer a request that cannot be taken in, and end the connection."""
+        if self._refused:
+            return
+        self._refused = True
+        self._listener.report_refused(status)
+        self._loop.create_task(self._write_refusal(status))
+
+    async def _write_refusal(self, status):
+        while self._requests and not self._gone:
+            last = self._requests[-1].task
+            await asyncio.wait([last])
+            if self._requests and self._requests[-1].task is last:
+                break
+        if not self._gone:
+            head = b"HTTP/1.1 %d %s\r\n" % (status, _phrase(status))
+            self._transport.write(
+                head + b"connection: close\r\ncontent-length: 0\r\n\r\n"
+            )
+            self._close_gently()
+
+    # Flow and time.
+
+    def _count_head(self, count):
+        self._head_bytes += count
+        if self._head_bytes > self._listener.limits.max_head_bytes:
+            self._refuse(431)
+
+    def _on_body_read(self, _count):
+        self._control_reading()
+
+    def _control_reading(self):
+        if self._gone or self._transport.is_closing():
+            return
+        current = self._current
+        pipe = current.pipe if current is not None else None
+        is_full = pipe is not None and pipe.is_full
+        wants = not is_full and len(self._requests) < MAX_PIPELINED
+        if wants != self._reading:
+            self._reading = wants
+            if wants:
+                self._transport.resume_reading()
+            else:
+                self._transport.pause_reading()
+
+    def _resume_writer(self):
+        writable, self._writable = self._writable, None
+        if writable is not None and not writable.done():
+            writable.set_result(None)
+
+    def check(self, now, limits, is_draining):
+        """Close the connection when the client takes too long."""
+        if self._closing or self._refused:
+            return
+        if self._in_head:
+            if now - self._head_started > limits.head_timeout:
+                self._refuse(408)
+        elif self._current is not None:
+            if self._reading and now - self.last_active > limits.idle_timeout:
+                self._transport.abort()
+        elif not self._requests:
+            idle = limits.idle_timeout + IDLE_MARGIN_SECONDS
+            if is_draining or now - self.last_active > idle:
+                self._transport.close()
+
+
+def _phrase(status):
+    return _REASONS.get(status, "Unknown").encode()
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -6,29 +6,29 @@
 """
 
 import asyncio
-import os
-from dataclasses import dataclass, field
 
 import msgpack
 
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
-from ragworthoist.exceptions import AuthenticationError, BodyCutError, FrameError
+from ragworthoist.exceptions import FrameError
 from ragworthoist.net.bodies import BodyPipe
+from ragworthoist.net.calls import (
+    BodySender,
+    InboundCall,
+    PendingCall,
+    is_inline,
+)
 from ragworthoist.net.frames import (
-    CHUNK_BYTES,
     MAX_BODY_BYTES,
     MAX_FRAME_BYTES,
-    NONCE_BYTES,
-    PROTOCOL_VERSION,
     STREAMED,
-    WINDOW_BYTES,
     FrameKind,
     pack_answer,
     pack_call,
-    prove,
     unpack_answer,
     unpack_call,
 )
+from ragworthoist.net.handshake import Handshake
 from ragworthoist.net.sockets import guard_socket
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
@@ -43,40 +43,6 @@
 SILENT_AFTER_SECONDS = 1.5
 
 
-@dataclass(slots=True)
-class _Pending:
-    """A call that this side made and that has no whole answer yet."""
-
-    done: asyncio.Future
-    answer: object = None
-    body: object = field(default_factory=bytearray)
-    length: int = 0
-    idempotent: bool = False
-    gave_up: bool = False
-
-    def finish(self):
-        if not self.done.done():
-            self.done.set_result(None)
-
-
-@dataclass(slots=True)
-class _Inbound:
-    """A call that the other side made and that has no whole answer yet."""
-
-    call: object
-    length: int
-    body: object = field(default_factory=bytearray)
-    handle: object = None
-
-
-@dataclass(slots=True)
-class _Window:
-    """Bytes of a body that may still be sent, and how to wait for more."""
-
-    credit: int = WINDOW_BYTES
-    event: asyncio.Event = field(default_factory=asyncio.Event)
-
-
 class PeerStream(asyncio.Protocol):
     """One authenticated stream to another node.
 
@@ -103,13 +69,12 @@
         self._out = []
         self._pending = {}
         self._inbound = {}
-        self._windows = {}
+        self._bodies = BodySender(self._send)
         self._receiving = {}
         self._tasks = set()
         self._next_id = 1 if opened else 2
         self._streams_bodies = getattr(host, "streams_bodies", False)
-        self._nonce = os.urandom(NONCE_BYTES)
-        self._expected_proof = None
+        self._handshake = Handshake(host, opened)
         self._handshake_timer = None
         self._last_heard = host.clock()
         self._checked_at = None
@@ -126,8 +91,7 @@
         self._handshake_timer = self._loop.call_later(
             HANDSHAKE_TIMEOUT_SECONDS, self._give_up_handshake
         )
-        hello = [int(FrameKind.HELLO), PROTOCOL_VERSION, self._host.instance]
-        self._transport.write(self._packer.pack([*hello, self._nonce]))
+        self._transport.write(self._packer.pack(self._handshake.hello))
 
     def data_received(self, data):
         """Dispatch the frames in `data`."""
@@ -160,19 +124,19 @@
             reason = Reason.PEER_UNREACHABLE if self.closed else Reason.DEADLINE
             return refuse(reason, call)
         call_id = self._take_id()
-        pending = self._pending[call_id] = _Pending(
+        pending = self._pending[call_id] = PendingCall(
             self._loop.create_future(), idempotent=call.idempotent
         )
         timer = self._loop.call_later(remaining + VERDICT_GRACE_SECONDS, pending.finish)
         self._send(pack_call(call_id, call, remaining))
-        if not _is_inline(call.body):
-            self._start(self._send_call_body(call_id, call.body))
+        if not is_inline(call.body):
+            self._start(self._bodies.send(call_id, call.body))
         try:
             await pending.done
         finally:
             timer.cancel()
             self._pending.pop(call_id, None)
-            self._stop_sending(call_id)
+            self._bodies.stop(call_id)
             if pending.answer is None or pending.gave_up:
                 self._send([int(FrameKind.CANCEL), call_id])
         if pending.gave_up:
@@ -240,7 +204,7 @@
         if self.closed:
             return None
         call_id = self._take_id()
-        pending = self._pending[call_id] = _Pending(self._loop.create_future())
+        pending = self._pending[call_id] = PendingCall(self._loop.create_future())
         timer = self._loop.call_later(EXCHANGE_TIMEOUT_SECONDS, pending.finish)
         self._send([int(kind), call_id, content])
         try:
@@ -261,28 +225,15 @@
         return self.established.done()
 
     def _shake_hands(self, frame):
-        if not isinstance(frame, list) or not frame:
-            raise FrameError("frame", type(frame).__name__)
-        if self._expected_proof is None:
-            self._take_hello(frame)
-        elif frame == [FrameKind.PROOF, self._expected_proof]:
-            self._handshake_timer.cancel()
-            self.established.set_result(self)
-            if self._on_open is not None:
-                self._on_open(self)
-        else:
-            raise AuthenticationError(self.peer.hex())
-
-    def _take_hello(self, frame):
-        valid = len(frame) == 4 and frame[:2] == [FrameKind.HELLO, PROTOCOL_VERSION]
-        if not valid or not isinstance(frame[2], bytes):
-            raise FrameError("hello", frame[:2])
-        self.peer, peer_nonce = frame[2:]
-        own_role, peer_role = (b"o", b"a") if self._opened else (b"a", b"o")
-        key = self._host.key
-        proof = prove(key, own_role, self._nonce, peer_nonce, self._host.instance)
-        self._transport.write(self._packer.pack([int(FrameKind.PROOF), proof]))
-        self._expected_proof = prove(key, peer_role, peer_nonce, self._nonce, self.peer)
+        reply = self._handshake.take(frame)
+        self.peer = self._handshake.peer
+        if reply is not None:
+            self._transport.write(self._packer.pack(reply))
+            return
+        self._handshake_timer.cancel()
+        self.established.set_result(self)
+        if self._on_open is not None:
+            self._on_open(self)
 
     def _give_up_handshake(self):
         self._transport.abort()
@@ -308,38 +259,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send_call_body(self, call_id, body):
-        try:
-            await self._send_body(call_id, body)
-        except BodyCutError:
-            # The caller has gone, and cancels the call itself.
-            return
-
-    async def _send_body(self, call_id, body):
-        window = self._windows[call_id] = _Window()
-        total = 0
-        try:
-            async for part in _parts_of(body):
-                for chunk in _chunks_of(part):
-                    while window.credit < len(chunk):
-                        window.event.clear()
-                        await window.event.wait()
-                    if self._windows.get(call_id) is not window:
-                        return
-                    window.credit -= len(chunk)
-                    total += len(chunk)
-                    self._send([int(FrameKind.CHUNK), call_id, bytes(chunk)])
-            self._send([int(FrameKind.END), call_id, total])
-        finally:
-            if self._windows.get(call_id) is window:
-                del self._windows[call_id]
-
-    def _stop_sending(self, call_id):
-        window = self._windows.pop(call_id, None)
-        if window is not None:
-            window.credit = MAX_BODY_BYTES
-            window.event.set()
-
     # Frames.
 
     def _dispatch(self, frame):
@@ -366,7 +285,7 @@
         if self._is_own(call_id) or call_id in self._inbound:
             raise FrameError("call id", call_id)
         call, length, complete = unpack_call(frame, self._host.clock())
-        inbound = self._inbound[call_id] = _Inbound(call, length)
+        inbound = self._inbound[call_id] = InboundCall(call, length)
         if not complete:
             self._await_body(call_id, inbound, call)
         if complete or self._streams_bodies:
@@ -403,15 +322,13 @@
         if self.closed or call_id not in self._inbound:
             return
         self._send(pack_answer(call_id, answer))
-        if _is_inline(answer.body):
+        if is_inline(answer.body):
             del self._inbound[call_id]
         else:
             self._start(self._finish_reply(call_id, answer.body))
 
     async def _finish_reply(self, call_id, body):
-        try:
-            await self._send_body(call_id, body)
-        except BodyCutError:
+        if not await self._bodies.send(call_id, body):
             self._send([int(FrameKind.CUT), call_id, None])
         self._inbound.pop(call_id, None)
         if isinstance(body, BodyPipe):
@@ -467,14 +384,11 @@
     def _on_credit(self, call_id, frame):
         if not isinstance(frame[2], int):
             raise FrameError("credit", frame[2])
-        window = self._windows.get(call_id)
-        if window is not None:
-            window.credit += frame[2]
-            window.event.set()
+        self._bodies.add_credit(call_id, frame[2])
 
     def _on_cancel(self, call_id, _frame):
         inbound = self._inbound.pop(call_id, None)
-        self._stop_sending(call_id)
+        self._bodies.stop(call_id)
         if inbound is None:
             return
         if isinstance(inbound.body, BodyPipe):
@@ -527,8 +441,7 @@
             if inbound.handle is not None:
                 self._host.cancel_call(inbound.handle)
         self._inbound.clear()
-        for call_id in list(self._windows):
-            self._stop_sending(call_id)
+        self._bodies.stop_all()
         self._host.report_lost_peer(self)
 
     _LENGTHS = {FrameKind.CANCEL: 2}
@@ -548,21 +461,3 @@
         FrameKind.CHECK: _on_check,
         FrameKind.CHECKED: _on_checked,
     }
-
-
-def _is_inline(body):
-    return isinstance(body, bytes) and len(body) <= CHUNK_BYTES
-
-
-async def _parts_of(body):
-    if not isinstance(body, BodyPipe):
-        yield body
-        return
-    while part := await body.read():
-        yield part
-
-
-def _chunks_of(part):
-    view = memoryview(part)
-    for start in range(0, len(part), CHUNK_BYTES):
-        yield view[start : start + CHUNK_BYTES]
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -4,14 +4,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ragworthoist.core.members import Member, MemberState, Message
 from ragworthoist.core.membership import (
     PAUSE_SECONDS,
     RECENT_PROBE_INTERVAL_SECONDS,
     SUSPICION_SECONDS,
-    Member,
     Membership,
-    MemberState,
-    Message,
 )
 
 TICK_SECONDS = 0.1
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from ragworthoist.core.membership import Member
+from ragworthoist.core.members import Member
 from ragworthoist.core.placement import FORGET_SECONDS, Placement
 
 AIM = 0.1
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from ragworthoist.core.membership import Member
+from ragworthoist.core.members import Member
 from ragworthoist.core.routing import EJECT_AFTER_FAILURES, Router
 
 
--- a/tests/edge/test_attempts.py
+++ b/tests/edge/test_attempts.py
@@ -7,7 +7,8 @@
 
 from ragworthoist.core.budgets import BudgetTerms, RepeatBudget
 from ragworthoist.core.entities import Answer, Call, Outcome, Reason
-from ragworthoist.core.membership import Member, Membership
+from ragworthoist.core.members import Member
+from ragworthoist.core.membership import Membership
 from ragworthoist.core.placement import Placement
 from ragworthoist.edge.dispatching import AttemptDispatcher
 from ragworthoist.net.bodies import BodyPipe
--- a/tests/edge/test_handover.py
+++ b/tests/edge/test_handover.py
@@ -172,7 +172,11 @@
         for number in range(UNTOLD_SLOTS + 3):
             call = make_call(request_id=b"%d" % number, aim=0.3)
             handover.submit(call, lambda answer: reasons.append(answer.reason))
-        return reasons
+        refused = list(reasons)
+        client.release.set()
+        while handover.in_progress:
+            await asyncio.sleep(0)
+        return refused
 
     # One call ahead takes 1/16 s: a quarter of the aim is passed at the second.
     assert asyncio.run(run()) == [Reason.SHED] * 2
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -17,7 +17,8 @@
 from ragworthoist._serving import Serving
 from ragworthoist._tasks import TaskPool
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
-from ragworthoist.core.membership import Member, Membership
+from ragworthoist.core.members import Member
+from ragworthoist.core.membership import Membership
 from ragworthoist.core.policy import Policy
 from ragworthoist.core.routing import Router
 from ragworthoist.net.entrance import Entrance, OnwardExit
--- a/tests/net/test_datagrams.py
+++ b/tests/net/test_datagrams.py
@@ -3,7 +3,8 @@
 import anyio
 import pytest
 
-from ragworthoist.core.membership import Member, Membership
+from ragworthoist.core.members import Member
+from ragworthoist.core.membership import Membership
 from ragworthoist.exceptions import AuthenticationError, FrameError
 from ragworthoist.net.datagrams import Datagrams
 from ragworthoist.net.frames import open_datagram, seal_datagram
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -7,7 +7,8 @@
 from ragworthoist import Document
 from ragworthoist._keeping import Keeper
 from ragworthoist.core.configuration import ConfigurationTable
-from ragworthoist.core.membership import Member, Membership
+from ragworthoist.core.members import Member
+from ragworthoist.core.membership import Membership
 from ragworthoist.exceptions import NotReadyError, StoreUnavailableError
 from ragworthoist.store import StoredValue
 
