--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -48,6 +48,7 @@
         self.router = Router(self.membership.node, self.random)
         self.outcomes = OutcomeTable()
         self.open_requests = 0
+        self.is_open = False
         self.dispatcher = Dispatcher(self)
         self.serving = None
         self._leaving = anyio.Event()
@@ -112,6 +113,7 @@
         self.tasks.keep_running(keeper.watch)
         self.tasks.keep_running(keeper.keep_joining)
         self.tasks.keep_running(keeper.refresh_exceptions)
+        self.is_open = True
         log_event(Event.NODE_SERVING, configuration=self.configuration.version)
 
     async def _wait_for_server(self, address):
--- a/src/ragworthoist/core/membership.py
+++ b/src/ragworthoist/core/membership.py
@@ -284,16 +284,12 @@
             called.add(member.address)
             if self._random.random() < share:
                 message, address = self._make(MessageKind.PING, member)
-                # Whoever has started there knows nobody yet.
-                message.updates.append(self.node)
                 out.append((message, address))
 
     def _answer_ping(self, message, address, out):
         matches = message.target in (b"", self.node.instance)
         kind = MessageKind.ACK if matches else MessageKind.MISMATCH
         reply = self._message(kind, message.sender, message.sequence)
-        # Whoever asks may hold an old record of this node.
-        reply.updates.insert(0, self.node)
         if not matches:
             reply.relay = [message.target]
         out.append((reply, address))
@@ -398,7 +394,8 @@
             target,
             self.configuration_version,
             self._digest,
-            self._pick_updates(),
+            # Whoever hears of this node may hold an old record of it.
+            [self.node, *self._pick_updates()],
             list(relay),
         )
 
@@ -407,12 +404,13 @@
         if not queue:
             return []
         limit = TRANSMISSIONS_FACTOR * math.ceil(math.log2(len(self.members) + 2))
+        own = self.node.instance
         chosen = sorted(queue, key=queue.get)[:UPDATES_PER_DATAGRAM]
         for instance in chosen:
             queue[instance] += 1
             if queue[instance] >= limit:
                 del queue[instance]
-        return [self.members[i] for i in chosen if i in self.members]
+        return [self.members[i] for i in chosen if i in self.members and i != own]
 
 
 def _digest_of(member):
--- a/src/ragworthoist/net/operators.py
+++ b/src/ragworthoist/net/operators.py
@@ -44,7 +44,7 @@
         await route(send)
 
     async def _health(self, send):
-        serving = self._node.policy is not None and not self._node.serving.leaving
+        serving = self._node.is_open and not self._node.serving.leaving
         await _respond_json(send, 200 if serving else 503, {"serving": serving})
 
     async def _state(self, send):
@@ -74,6 +74,7 @@
         "instance": node.instance.hex(),
         "service": node.settings.node.service,
         "failure_domain": node.settings.node.failure_domain,
+        "open": node.is_open,
         "leaving": node.serving.leaving,
         "configuration": {
             "version": node.configuration.version,
--- a/src/ragworthoist_lab/fleet.py
+++ b/src/ragworthoist_lab/fleet.py
@@ -150,11 +150,13 @@
                 time.sleep(POLL_SECONDS)
 
     def count_alive(self, endpoint):
-        """Return how many members a node holds for alive, 0 if it does not answer."""
+        """Return how many members a node holds for alive, 0 until it serves."""
         try:
             status = self.ask(endpoint, "/status")
         except (OSError, ValueError):
             return 0
+        if not status["open"]:
+            return 0
         return sum(1 for m in status["members"] if m["state"] == "alive")
 
     def ask(self, endpoint, path):
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -196,6 +196,17 @@
         assert found.peers()
         assert found.newer_configuration in found.members
 
+    def test_whatever_a_node_sends_brings_its_newest_record(self):
+        network = Network(12)
+        network.run(20.0)
+        table = network.tables["10.0.0.1", 0]
+        table.set_accepting(False, network.now)
+        for _ in range(100):
+            # News of the change has long been passed on.
+            table._pick_updates()
+        for message, _ in [*table.hint(), *table.ask(table.peers())]:
+            assert [m.accepting for m in message.updates if m == table.node] == [False]
+
     def test_a_leaving_node_is_no_endpoint_and_still_present(self):
         network = Network(4)
         network.run(5.0)
