Meet the whole fleet before a node is ready

Cause, from a failing test and its log: a restarted node was ready knowing one peer of three. It reads the records of the few nodes that keep them in the store, and the others only came with the gossip's next round. In the test all nodes have one address as well, so that their records took each other's key.

The key of a record holds the port.

--- a/src/ragworthoist/_fleet.py
+++ b/src/ragworthoist/_fleet.py
@@ -74,7 +74,7 @@
         known = {member.address for member in self.membership.peers()}
         for host, port in addresses:
             if (host, port) not in known:
-                await self._exchange_with(Member(b"", "", "", "", host, port))
+                await self.exchange_with(Member(b"", "", "", "", host, port))
 
     async def _gossip(self):
         while True:
@@ -94,7 +94,7 @@
         sync_with = membership.members.get(membership.sync_wanted)
         membership.sync_wanted = None
         if sync_with is not None and sync_with.is_present:
-            self.tasks.start_soon(self._exchange_with, sync_with)
+            self.tasks.start_soon(self.exchange_with, sync_with)
         newer = membership.members.get(membership.newer_configuration)
         membership.newer_configuration = None
         if newer is not None and newer.is_present:
@@ -117,13 +117,16 @@
             log_event(Event.NODE_WAS_PAUSED, seconds=membership.paused_seconds)
             membership.paused_seconds = 0.0
 
-    async def _exchange_with(self, member):
+    async def exchange_with(self, member):
+        """Exchange all records with `member`; return whether it answered."""
         stream = await self.peers.open_to(member)
-        if stream is None:
-            return
-        records = await stream.exchange(self.membership.snapshot())
-        if records is not None:
-            self._merge_records(records)
+        records = None
+        if stream is not None:
+            records = await stream.exchange(self.membership.snapshot())
+        if records is None:
+            return False
+        self._merge_records(records)
+        return True
 
     async def fetch_configuration_from(self, member):
         """Adopt the configuration of `member` if it is newer."""
--- a/src/ragworthoist/edge/joining.py
+++ b/src/ragworthoist/edge/joining.py
@@ -85,7 +85,7 @@
 
     async def _write_record(self):
         member = self._node.membership.node
-        key = f"{self._prefix}{member.domain}/{member.host}"
+        key = f"{self._prefix}{member.domain}/{member.host}:{member.port}"
         try:
             self._lease = await self._store.grant_lease(RECORD_LEASE_SECONDS)
             await self._store.put(key, msgpack.packb(member.pack()), self._lease)
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -45,7 +45,7 @@
 EXIT_RESERVE_SECONDS = 0.8
 DRAIN_POLL_SECONDS = 0.05
 GREETED_AT_MOST = 24
-OPENED_AT_MOST = 64
+EXCHANGES_AT_MOST = 3
 
 
 def read_clock():
@@ -234,11 +234,21 @@
     async def greet(self, members):
         """Take in records of members and tell them of this node."""
         self.membership.merge(members, self.clock())
+        await self._ask_unheard()
+        # Only a few nodes keep records in the store: one of them knows the rest.
         peers = self.membership.peers()
         self.random.shuffle(peers)
-        await self.datagrams.send(self.membership.ask(peers[:GREETED_AT_MOST]))
+        for member in peers[:EXCHANGES_AT_MOST]:
+            if await self.exchange_with(member):
+                await self._ask_unheard()
+                break
         self._follow_up()
 
+    async def _ask_unheard(self):
+        unheard = self.membership.list_unheard()
+        self.random.shuffle(unheard)
+        await self.datagrams.send(self.membership.ask(unheard[:GREETED_AT_MOST]))
+
     def apply_policy(self):
         """Put the limits of the configuration in force at the entrance."""
         self.entrance.limits = self.policy.limits
