Serve the metrics, at every question

Cause: no test asked for them. The formatter's method was misspelt, and the collectors of each answer entered the library's global registry, which refuses a name the second time. Found by a look at what the new edge's metrics print.

Change: the right method, collectors that belong to the answer's own registry, tests that ask nodes of both edges twice, a counter of connections opened to the server. Two methods of body pipes that nothing called are gone.

Measured: the new tests failed before and pass.

--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -36,7 +36,7 @@
         # Loaded on the first question, so that a start does not wait for it.
         from aioprometheus.formats import text
 
-        body = text.TextFormatter().marshal(collect_edge_metrics(self._node))
+        body = text.TextFormatter().marshall(collect_edge_metrics(self._node))
         await request.respond(200, _TEXT, body)
 
 
@@ -87,21 +87,37 @@
     from aioprometheus import Counter, Gauge, Registry
 
     registry = Registry()
-    requests = Counter("ragworthoist_requests_total", "Requests by outcome")
-    latency = Counter("ragworthoist_completed_below_total", "Completed, by latency")
-    store = Counter("ragworthoist_store_calls_total", "Calls to the store by kind")
-    limit = Gauge("ragworthoist_limit", "Calls handed to the server at once")
-    in_flight = Gauge("ragworthoist_in_flight", "Calls running at the server")
-    waiting = Gauge("ragworthoist_waiting", "Calls waiting for the server")
-    version = Gauge("ragworthoist_configuration_version", "Version in force")
-    members = Gauge("ragworthoist_members", "Members by state")
-    for collector in (
-        requests, latency, store, limit, in_flight, waiting, version, members,
-    ):  # fmt: skip
-        registry.register(collector)
+    requests = Counter(
+        "ragworthoist_requests_total", "Requests by outcome", registry=registry
+    )
+    latency = Counter(
+        "ragworthoist_completed_below_total", "Completed, by latency", registry=registry
+    )
+    store = Counter(
+        "ragworthoist_store_calls_total",
+        "Calls to the store by kind",
+        registry=registry,
+    )
+    opened = Counter(
+        "ragworthoist_server_connections_total", "Connections opened", registry=registry
+    )
+    limit = Gauge(
+        "ragworthoist_limit", "Calls handed to the server at once", registry=registry
+    )
+    in_flight = Gauge(
+        "ragworthoist_in_flight", "Calls running at the server", registry=registry
+    )
+    waiting = Gauge(
+        "ragworthoist_waiting", "Calls waiting for the server", registry=registry
+    )
+    version = Gauge(
+        "ragworthoist_configuration_version", "Version in force", registry=registry
+    )
+    members = Gauge("ragworthoist_members", "Members by state", registry=registry)
     collect_outcomes(node.outcomes, str, requests, latency)
     for kind, count in node.store.calls.items():
         store.set({"kind": kind}, count)
+    opened.set({}, node.server_client.opened)
     limit.set({}, node.handover.admission.limiter.limit)
     in_flight.set({}, node.handover.admission.in_flight)
     waiting.set({}, len(node.handover.admission))
--- a/src/ragworthoist/net/bodies.py
+++ b/src/ragworthoist/net/bodies.py
@@ -36,11 +36,6 @@
         """Whether the writer should pause."""
         return self._size >= HIGH_WATER_BYTES
 
-    @property
-    def is_complete(self):
-        """Whether the writer has ended the body."""
-        return self._ended
-
     def feed(self, data):
         """Take in `data`."""
         if self._discarded:
@@ -75,13 +70,6 @@
         if not (self._ended or self._cut) and self._on_discard is not None:
             self._on_discard()
 
-    def take_all(self):
-        """Return what has arrived so far, without waiting."""
-        data = b"".join(self._parts)
-        self._parts.clear()
-        self._size = 0
-        return data
-
     async def read(self):
         """Return the next bytes, empty at the end.
 
--- a/src/ragworthoist/net/operators.py
+++ b/src/ragworthoist/net/operators.py
@@ -57,7 +57,7 @@
         await _respond_json(send, 200, await self._node.survey())
 
     async def _metrics(self, send):
-        body = text.TextFormatter().marshal(collect_metrics(self._node))
+        body = text.TextFormatter().marshall(collect_metrics(self._node))
         await respond(send, 200, [(b"content-type", b"text/plain")], body)
 
 
@@ -121,15 +121,25 @@
 def collect_metrics(node):
     """Return an aioprometheus registry filled from the node's tables."""
     registry = Registry()
-    requests = Counter("ragworthoist_requests_total", "Customer requests by outcome")
-    latency = Counter("ragworthoist_completed_below_total", "Completed, by latency")
-    limit = Gauge("ragworthoist_limit", "Calls handed to the server at once")
-    in_flight = Gauge("ragworthoist_in_flight", "Calls running at the server")
-    waiting = Gauge("ragworthoist_waiting", "Calls waiting for the server")
-    version = Gauge("ragworthoist_configuration_version", "Version in force")
-    members = Gauge("ragworthoist_members", "Members by state")
-    for collector in (requests, latency, limit, in_flight, waiting, version, members):
-        registry.register(collector)
+    requests = Counter(
+        "ragworthoist_requests_total", "Customer requests by outcome", registry=registry
+    )
+    latency = Counter(
+        "ragworthoist_completed_below_total", "Completed, by latency", registry=registry
+    )
+    limit = Gauge(
+        "ragworthoist_limit", "Calls handed to the server at once", registry=registry
+    )
+    in_flight = Gauge(
+        "ragworthoist_in_flight", "Calls running at the server", registry=registry
+    )
+    waiting = Gauge(
+        "ragworthoist_waiting", "Calls waiting for the server", registry=registry
+    )
+    version = Gauge(
+        "ragworthoist_configuration_version", "Version in force", registry=registry
+    )
+    members = Gauge("ragworthoist_members", "Members by state", registry=registry)
     collect_outcomes(
         node.outcomes, lambda rank: _rank_name(node, rank), requests, latency
     )
--- /dev/null
+++ b/tests/edge/test_observing.py
@@ -0,0 +1,67 @@
+"""Metrics of the edge for attempts, as a collector reads them."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ragworthoist._outcomes import OutcomeTable
+from ragworthoist.core.admission import Admission
+from ragworthoist.core.entities import Answer, Outcome, Reason
+from ragworthoist.edge.handover import _POLICY
+from ragworthoist.edge.observing import Observer
+
+
+class FakeRequest:
+    def __init__(self, target):
+        self.target = target
+        self.answer = None
+
+    async def respond(self, status, headers=(), body=b""):
+        self.answer = (status, body)
+
+
+def make_node():
+    outcomes = OutcomeTable()
+    outcomes.record("order", 0, Answer(Outcome.COMPLETED, Reason.ANSWERED, 200), 0.03)
+    outcomes.record("order", 0, Answer(Outcome.NOT_RUN, Reason.SHED), 0.001)
+    return SimpleNamespace(
+        outcomes=outcomes,
+        store=SimpleNamespace(calls={"get": 2}),
+        server_client=SimpleNamespace(opened=3),
+        handover=SimpleNamespace(admission=Admission(_POLICY)),
+        configuration=SimpleNamespace(version=7),
+        membership=SimpleNamespace(members={}),
+        is_ready=True,
+    )
+
+
+def ask(target, method="answer_metrics"):
+    request = FakeRequest(target)
+    asyncio.run(getattr(Observer(make_node()), method)(request))
+    return request.answer
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        'ragworthoist_requests_total{kind="order",outcome="not-run",rank="0",'
+        'reason="shed"} 1',
+        'ragworthoist_completed_below_total{kind="order",le="0.05",rank="0"} 1',
+        'ragworthoist_store_calls_total{kind="get"} 2',
+        "ragworthoist_server_connections_total 3",
+        "ragworthoist_configuration_version 7",
+    ],
+)
+def test_metrics_are_served_as_text(line):
+    status, body = ask(b"/metrics")
+    assert status == 200
+    assert line in body.decode().splitlines()
+
+
+def test_an_unknown_question_is_said_to_be_so():
+    assert ask(b"/other")[0] == 404
+
+
+def test_readiness_is_a_status():
+    assert ask(b"/ready", "answer_readiness")[0] == 200
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -1,6 +1,7 @@
 """The edge for attempts through real processes on the platform's stand-ins."""
 
 import asyncio
+import urllib.request
 from collections import Counter
 
 import pytest
@@ -113,6 +114,15 @@
         mesh.wait_for_version()
 
 
+class TestMetrics:
+    def test_every_node_serves_them_again_and_again(self, mesh):
+        for endpoint in mesh.endpoints:
+            url = f"http://127.0.0.1:{endpoint.ports['metrics']}/metrics"
+            for _ in range(2):
+                with urllib.request.urlopen(url, timeout=30) as response:
+                    assert b"ragworthoist_limit" in response.read()
+
+
 class TestTruth:
     def test_a_refusal_of_the_server_is_tried_elsewhere_and_runs_once(self, mesh):
         for endpoint in mesh.of("shop"):
--- a/tests/lab/test_path.py
+++ b/tests/lab/test_path.py
@@ -1,12 +1,13 @@
 """The whole path through real processes."""
 
 import socket
+import urllib.request
 
 import anyio
 import pytest
 
 from ragworthoist._commands import run_command
-from ragworthoist_lab.fleet import Fleet, ServiceSpec, wait_until
+from ragworthoist_lab.fleet import TOKEN, Fleet, ServiceSpec, wait_until
 from ragworthoist_lab.load import Customers, Stream
 from ragworthoist_lab.report import find_violations
 
@@ -111,3 +112,14 @@
         assert answer.split(" ")[1] == status
         assert "ragworthoist-outcome: not-run" in answer
         assert f"ragworthoist-reason: {reason}" in answer
+
+
+class TestMetrics:
+    def test_every_node_serves_them_again_and_again(self, fleet):
+        headers = {"authorization": f"Bearer {TOKEN}"}
+        for endpoint in fleet.endpoints:
+            url = endpoint.operators_url + "/metrics"
+            for _ in range(2):
+                request = urllib.request.Request(url, headers=headers)
+                with urllib.request.urlopen(request, timeout=30) as response:
+                    assert b"ragworthoist_limit" in response.read()
