Leave the answer ahead alone when a long body behind it is turned away

Cause, found by reading: in the last phase of a stop a request with a long body that came behind another was turned away, and its end then took the request ahead out of the row of answers, which cut that answer.

Change: only a request that was started is taken out of the row. The edge's node also loses two methods that its base class has to the letter.

--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -262,15 +262,6 @@
         """End a peer's call."""
         self.handover.cancel(handle)
 
-    def report_lost_peer(self, stream):
-        """Drop a stream that has ended."""
-        self.peers.forget(stream)
-        log_event(Event.PEER_LOST, peer=stream.peer.hex())
-
-    def report_refused_peer(self, peer, error):
-        """Log a peer that broke the protocol or does not hold the fleet's key."""
-        log_event(Event.PEER_REFUSED, peer=peer.hex(), error=str(error))
-
     # Life cycle.
 
     def dump_state(self):
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -234,7 +234,8 @@
         request.is_complete = True
         if request.pipe is not None:
             request.pipe.end()
-            if request.has_responded:
+            # A request that was turned away never stood in the row of answers.
+            if request.has_responded and request.task is not None:
                 self._finish(request)
             return
         if request.parts:
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -265,6 +265,31 @@
         status, headers, body = asyncio.run(run())
         assert (status, headers["connection"], body) == (200, "close", b"done")
 
+    def test_a_long_body_that_is_turned_away_leaves_the_answer_ahead_alone(self):
+        async def run():
+            started, release = asyncio.Event(), asyncio.Event()
+
+            async def handle(request):
+                started.set()
+                await release.wait()
+                await request.respond(200, [], b"ahead")
+
+            async with serve(handle) as (listener, reader, writer):
+                writer.write(GET % b"/ahead")
+                await started.wait()
+                listener.drain()
+                listener.closes_idle = True
+                size = HIGH_WATER_BYTES + 10
+                head = b"POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size
+                writer.write(head + bytes(size))
+                [connection] = listener.connections
+                while connection._body_bytes < size:
+                    await asyncio.sleep(0)
+                release.set()
+                return (await read_answer(reader))[2]
+
+        assert asyncio.run(run()) == b"ahead"
+
     @pytest.mark.parametrize(("ahead", "statuses"), [(0, [503]), (1, [200])])
     def test_what_comes_in_the_last_moments_is_not_started(self, ahead, statuses):
         async def run():
