Write frames at once and look up what is read for each call in fewer steps

Change: frames go to the transport at once, which joins what is written within a turn of the event loop, so that a turn is spared. Routes are found by one look-up for each length of prefix, enumerations of frames by a table, time limits of exchanges by one timer. Whether a peer is alive has its own module.

--- a/src/ragworthoist/core/routes.py
+++ b/src/ragworthoist/core/routes.py
@@ -60,6 +60,30 @@
     limits: RequestLimits
 
 
+class _PrefixTable:
+    """The routes of one host; a look-up costs one step for each length of prefix."""
+
+    __slots__ = ("_routes", "_lengths")
+
+    def __init__(self):
+        self._routes = {}
+        self._lengths = []
+
+    def add(self, route):
+        self._routes.setdefault(route.prefix, route)
+        length = len(route.prefix)
+        if length not in self._lengths:
+            self._lengths.append(length)
+            self._lengths.sort(reverse=True)
+
+    def find(self, path):
+        for length in self._lengths:
+            found = self._routes.get(path[:length])
+            if found is not None:
+                return found
+        return None
+
+
 class RouteTable:
     """A `RouteDocument` compiled for lookup on the path of a request.
 
@@ -80,16 +104,12 @@
         self.limits = document.limits
         self._hosts = {}
         for route in document.routes:
-            self._hosts.setdefault(route.host, []).append(route)
-        for routes in self._hosts.values():
-            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+            self._hosts.setdefault(route.host, _PrefixTable()).add(route)
 
     def find(self, host, path):
         """Return the route with the longest prefix of `path`, None without one."""
-        for route in self._hosts.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        table = self._hosts.get(host)
+        return table.find(path) if table is not None else None
 
     def service(self, name):
         """Return the `ServiceInfo` of the service called `name`, or None."""
--- a/src/ragworthoist/core/routing.py
+++ b/src/ragworthoist/core/routing.py
@@ -77,11 +77,15 @@
     def candidates(self, service, members, version, excluded, now):
         """Return the usable endpoints of `service`."""
         subset = self.subset(service, members, version)
-        usable = [
-            member
-            for member in subset
-            if member.instance not in excluded and self._is_usable(member, now)
-        ]
+        usable = []
+        for member in subset:
+            state = self.state(member.instance)
+            if (
+                state.ejected_until <= now
+                and state.leaving_until <= now
+                and member.instance not in excluded
+            ):
+                usable.append(member)
         if usable:
             return usable
         return [
@@ -137,10 +141,6 @@
         # One failure of the trial after the pause ejects again.
         state.failures = EJECT_AFTER_FAILURES - 1
 
-    def _is_usable(self, member, now):
-        state = self.state(member.instance)
-        return state.ejected_until <= now and state.leaving_until <= now
-
     def _cost(self, member, now):
         state = self.state(member.instance)
         cost = float(state.outstanding)
--- a/src/ragworthoist/edge/handover.py
+++ b/src/ragworthoist/edge/handover.py
@@ -251,10 +251,13 @@
 
         head = self._make_head(call, remaining)
         try:
-            async with asyncio.timeout(remaining + ANSWER_GRACE_SECONDS):
-                response = await self._client.send(
-                    head, call.body, accepts, call.method == "HEAD"
-                )
+            response = await self._client.send(
+                head,
+                call.body,
+                accepts,
+                is_head=call.method == "HEAD",
+                timeout=remaining + ANSWER_GRACE_SECONDS,
+            )
         except ConnectFailedError:
             self._note_connect_failure()
             return Answer(Outcome.NOT_RUN, Reason.SERVER_UNREACHABLE)
--- a/src/ragworthoist/events.py
+++ b/src/ragworthoist/events.py
@@ -58,7 +58,10 @@
 
 def is_logged(event):
     """Whether a line for `event` would be written; counts it as left out if not."""
-    return all(gate(event) for gate in _gates)
+    for gate in _gates:  # noqa: SIM110 - runs twice for each call
+        if not gate(event):
+            return False
+    return True
 
 
 def log_event(event, **fields):
--- a/src/ragworthoist/net/client.py
+++ b/src/ragworthoist/net/client.py
@@ -192,11 +192,14 @@
 
     # Requests.
 
-    async def exchange(self, head, body, accepts, is_head):
+    async def exchange(self, head, body, accepts, is_head, end):
         """Send one request and return its `Response`."""
         self._accepts = accepts
         self._is_head = is_head
         self._waiter = self._loop.create_future()
+        timer = None
+        if end is not None:
+            timer = self._loop.call_at(end, self._time_out)
         try:
             if isinstance(body, BodyPipe):
                 self._transport.write(head)
@@ -207,6 +210,9 @@
         except BaseException:
             self.abort()
             raise
+        finally:
+            if timer is not None:
+                timer.cancel()
 
     def abort(self):
         """Close at once; the server notices that nobody waits."""
@@ -261,6 +267,10 @@
         self._deliver(message.response, b"".join(message.parts))
         self._on_closed()
 
+    def _time_out(self):
+        if self._waiter is not None:
+            self._fail(TimeoutError())
+
     def _fail(self, error):
         waiter, self._waiter = self._waiter, None
         if waiter is not None and not waiter.done():
@@ -342,7 +352,14 @@
         for connection in idle:
             connection.abort()
 
-    async def send(self, head, body=b"", accepts=lambda response: True, is_head=False):
+    async def send(
+        self,
+        head,
+        body=b"",
+        accepts=lambda response: True,
+        is_head=False,
+        timeout=None,
+    ):
         """Send a request and return its `Response`.
 
         Parameters
@@ -354,9 +371,13 @@
         accepts : callable
             Tells whether a `Response` (status and headers) belongs to this
             request; others are skipped.
+        timeout : float, optional
+            Seconds until the head of the answer, and a short body, must be there.
 
         Raises
         ------
+        TimeoutError
+            If `timeout` has passed; the request may have run.
         ConnectFailedError
             If no connection could be made: nothing was sent.
         ConnectionLostError
@@ -364,8 +385,11 @@
         GarbledResponseError
             If the answer breaks the protocol; the request may have run.
         """
+        end = None
+        if timeout is not None:
+            end = asyncio.get_running_loop().time() + timeout
         connection = self._take_idle() or await self._connect()
-        return await connection.exchange(head, body, accepts, is_head)
+        return await connection.exchange(head, body, accepts, is_head, end)
 
     def release(self, connection):
         """Keep a connection whose answer is complete for the next request."""
--- a/src/ragworthoist/net/frames.py
+++ b/src/ragworthoist/net/frames.py
@@ -27,6 +27,11 @@
 NONCE_BYTES = 16
 
 
+# Looked up for each answer; calling an enumeration takes ten times as long.
+_OUTCOMES = {outcome.value: outcome for outcome in Outcome}
+_REASONS = {reason.value: reason for reason in Reason}
+
+
 class FrameKind(IntEnum):
     """Kinds of frames."""
 
@@ -170,8 +175,8 @@
             body,
         ) = frame
         answer = Answer(
-            outcome=Outcome(outcome),
-            reason=Reason(reason),
+            outcome=_OUTCOMES[outcome],
+            reason=_REASONS[reason],
             status=int(status),
             headers=[(bytes(name), bytes(value)) for name, value in headers],
             body=body or b"",
@@ -180,7 +185,7 @@
             levels=[(str(kind), int(level)) for kind, level in levels],
             load=float(load),
         )
-    except (TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError) as error:
         raise FrameError("answer", str(error)) from None
     _check_length(length, body)
     return answer, length, body is not None
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -178,7 +178,7 @@
     def on_url(self, url):
         """Collect a part of the target."""
         self._url.append(url)
-        self._count_head(len(url))
+        self._head_bytes += len(url)
 
     def on_header(self, name, value):
         """Collect one header."""
@@ -188,11 +188,15 @@
             self._declared = int(value) if value.isdigit() else 0
         elif name == b"expect":
             self._expects_continue = value.lower() == b"100-continue"
-        self._count_head(len(name) + len(value) + 4)
+        self._head_bytes += len(name) + len(value) + 4
+        if self._head_bytes > self._listener.limits.max_head_bytes:
+            self._refuse(431)
 
     def on_headers_complete(self):
         """Check the head of a request against the limits."""
         self._in_head = False
+        if self._head_bytes > self._listener.limits.max_head_bytes:
+            self._refuse(431)
         if self._refused:
             return
         request = Request(
@@ -389,11 +393,6 @@
 
     # Flow and time.
 
-    def _count_head(self, count):
-        self._head_bytes += count
-        if self._head_bytes > self._listener.limits.max_head_bytes:
-            self._refuse(431)
-
     def _on_body_read(self, _count):
         self._control_reading()
 
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -29,18 +29,13 @@
     unpack_call,
 )
 from ragworthoist.net.handshake import Handshake
+from ragworthoist.net.liveness import PeerLiveness, Verdict
 from ragworthoist.net.sockets import guard_socket
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 # Beyond the deadline of a call: the peer's verdict at the deadline may arrive.
 VERDICT_GRACE_SECONDS = 0.12
 EXCHANGE_TIMEOUT_SECONDS = 5.0
-# A healthy peer answers a check within its link's round trip and one turn of its
-# event loop; a multiple of that marks the stream, a longer silence ends it.
-CHECK_AFTER_SECONDS = 0.1
-CHECK_IDLE_SECONDS = 3.0
-DOUBT_AFTER_SECONDS = 0.15
-SILENT_AFTER_SECONDS = 1.5
 
 
 class PeerStream(asyncio.Protocol):
@@ -66,7 +61,6 @@
         self._on_open = on_open
         self._packer = msgpack.Packer()
         self._unpacker = msgpack.Unpacker(max_buffer_size=4 * MAX_FRAME_BYTES)
-        self._out = []
         self._pending = {}
         self._inbound = {}
         self._bodies = BodySender(self._send)
@@ -76,8 +70,7 @@
         self._streams_bodies = getattr(host, "streams_bodies", False)
         self._handshake = Handshake(host, opened)
         self._handshake_timer = None
-        self._last_heard = host.clock()
-        self._checked_at = None
+        self._liveness = PeerLiveness(host.clock())
         self.established = self._loop.create_future()
         self.closed = False
         self.peer = b""
@@ -95,8 +88,7 @@
 
     def data_received(self, data):
         """Dispatch the frames in `data`."""
-        self._last_heard = self._host.clock()
-        self._checked_at = None
+        self._liveness.note_heard(self._host.clock())
         try:
             self._unpacker.feed(data)
             for frame in self._unpacker:
@@ -156,7 +148,6 @@
     def close(self):
         """End the stream; calls without an answer become unknown."""
         if self._transport is not None:
-            self._flush()
             self._transport.abort() if self.is_doubtful else self._transport.close()
         self._end()
 
@@ -164,7 +155,7 @@
     def calls_in_progress(self):
         """Number of calls without a whole answer, and of frames not yet written."""
         waiting = len(self._pending) + len(self._receiving) + len(self._inbound)
-        unsent = len(self._out)
+        unsent = 0
         if self._transport is not None and not self.closed:
             unsent += self._transport.get_write_buffer_size() > 0
         return waiting + unsent
@@ -172,25 +163,20 @@
     @property
     def is_doubtful(self):
         """Whether the peer has left a check unanswered for a while."""
-        checked = self._checked_at
-        return (
-            checked is not None and self._host.clock() - checked > DOUBT_AFTER_SECONDS
-        )
+        liveness = self._liveness
+        return liveness.is_checked and liveness.is_doubtful(self._host.clock())
 
     def check(self, now):
         """Ask a silent peer for a sign of life, and end the stream without one."""
         if self.closed or not self._is_established:
             return
-        if self._checked_at is not None:
-            if now - self._checked_at > SILENT_AFTER_SECONDS:
-                self.close()
-            elif self.is_doubtful:
-                self._release_idempotent()
-            return
-        after = CHECK_AFTER_SECONDS if self._pending else CHECK_IDLE_SECONDS
-        if now - self._last_heard > after:
-            self._checked_at = now
+        verdict = self._liveness.judge(now, is_awaited=bool(self._pending))
+        if verdict is Verdict.ASK:
             self._send([int(FrameKind.CHECK), 0, None])
+        elif verdict is Verdict.DOUBTFUL:
+            self._release_idempotent()
+        elif verdict is Verdict.SILENT:
+            self.close()
 
     def _release_idempotent(self):
         """End calls that may be tried elsewhere without waiting for the peer."""
@@ -244,15 +230,8 @@
     def _send(self, frame):
         if self.closed:
             return
-        if not self._out:
-            self._loop.call_soon(self._flush)
-        self._out.append(self._packer.pack(frame))
-
-    def _flush(self):
-        if self._out and not self.closed:
-            data = b"".join(self._out)
-            self._out.clear()
-            self._transport.write(data)
+        # The event loop joins what is written within one of its turns.
+        self._transport.write(self._packer.pack(frame))
 
     def _start(self, coroutine):
         task = self._loop.create_task(coroutine)
@@ -263,16 +242,16 @@
 
     def _dispatch(self, frame):
         try:
-            kind, call_id = FrameKind(frame[0]), frame[1]
+            kind, call_id = frame[0], frame[1]
             handle = self._HANDLERS[kind]
         except (TypeError, ValueError, IndexError, KeyError):
             raise FrameError("kind", repr(frame)[:40]) from None
         if not isinstance(call_id, int) or len(frame) < self._LENGTHS.get(kind, 3):
-            raise FrameError(kind.name.lower(), len(frame))
+            raise FrameError(FrameKind(kind).name.lower(), len(frame))
         try:
             handle(self, call_id, frame)
         except (TypeError, ValueError) as error:
-            raise FrameError(kind.name.lower(), str(error)) from None
+            raise FrameError(FrameKind(kind).name.lower(), str(error)) from None
 
     def _is_whole(self, pending):
         """Whether the answer can be delivered: complete, or streamed as it comes."""
@@ -425,7 +404,6 @@
         if self.closed:
             return
         self.closed = True
-        self._out.clear()
         self._handshake_timer.cancel()
         if not self._is_established:
             self.established.set_result(None)
--- a/tests/edge/test_handover.py
+++ b/tests/edge/test_handover.py
@@ -31,7 +31,7 @@
     def suspect(self):
         self.suspected = True
 
-    async def send(self, head, body, accepts, is_head):
+    async def send(self, head, body, accepts, is_head, timeout):
         self.heads.append(head)
         try:
             if self.waits:
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -193,6 +193,23 @@
 
         asyncio.run(run())
 
+    def test_an_answer_that_takes_too_long_ends_the_connection(self):
+        async def run():
+            async with (
+                asyncio.timeout(HANG_SECONDS),
+                ScriptedServer([[]]) as server,
+                HttpClient(server.address) as client,
+            ):
+                with pytest.raises(TimeoutError):
+                    await client.send(HEAD % b"1", timeout=0.01)
+                while client._open:
+                    await asyncio.sleep(0)
+                return server.received, client._idle
+
+        received, idle = asyncio.run(run())
+        assert received
+        assert idle == []
+
     def test_a_cancelled_request_closes_its_connection(self):
         async def run():
             async with (
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -9,13 +9,13 @@
 
 from ragworthoist.core.entities import Call, Outcome, Reason
 from ragworthoist.net.frames import MAX_BODY_BYTES, FrameKind, pack_call
-from ragworthoist.net.streams import (
+from ragworthoist.net.liveness import (
     CHECK_AFTER_SECONDS,
     CHECK_IDLE_SECONDS,
     DOUBT_AFTER_SECONDS,
     SILENT_AFTER_SECONDS,
-    PeerStream,
 )
+from ragworthoist.net.streams import PeerStream
 
 KEY = b"k" * 32
 HANG_SECONDS = 120.0
@@ -372,7 +372,7 @@
         async def scenario(stream, _acceptor):
             clock.passed += CHECK_IDLE_SECONDS + 0.1
             stream.check(clock())
-            while stream._checked_at is not None:
+            while stream._liveness.is_checked:
                 await anyio.sleep(0)
             return stream.is_doubtful, stream.closed
 
