Hand calls over without a task of their own

Cause: each hand-over was a task, which cost two more turns of the event loop.

Change: an exchange tells its end by a callback, which finishes the call at once; HttpClient.send waits on the same. Connections stand in a module of their own, and are free again within the turn in which their answer became whole.

--- a/src/ragworthoist/edge/handover.py
+++ b/src/ragworthoist/edge/handover.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 
 from ragworthoist.core.admission import Admission, Entry, EntryState
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
@@ -54,9 +55,8 @@
     call: object
     reply: object
     entry: object = None
-    task: object = None
-    is_cancelled: bool = False
-    is_inline: bool = False
+    exchange: object = None
+    verdict: object = None
 
 
 class Handover:
@@ -90,10 +90,7 @@
             if not done.done():
                 done.set_result(answer)
 
-        work = self.submit(call, reply, inline=True)
-        if work is not None and work.is_inline:
-            # Spares a task of its own for the hand-over.
-            await self._hand_over(work)
+        work = self.submit(call, reply)
         try:
             return await done
         except asyncio.CancelledError:
@@ -101,11 +98,9 @@
                 self.cancel(work)
             raise
 
-    def submit(self, call, reply, inline=False):
+    def submit(self, call, reply):
         """Take in `call`; `reply` is called once with its `Answer`.
 
-        With `inline` a call that need not wait is left to the caller to hand over.
-
         Returns
         -------
         Work or None
@@ -116,12 +111,10 @@
         if reason is not None:
             self._refuse(call, reply, reason)
             return None
-        work = Work(call, reply, is_inline=inline)
+        work = Work(call, reply)
         self.in_progress += 1
         work.entry = Entry(call, now, lambda entry: self._on_decided(work))
         self.admission.offer(work.entry, now)
-        if work.entry.state is not EntryState.RUNNING:
-            work.is_inline = False
         return None if work.entry.state is EntryState.SHED else work
 
     def find_parent(self, attempt_id):
@@ -135,14 +128,12 @@
 
     def cancel(self, work):
         """End `work`, whose caller has gone."""
-        if work.is_cancelled:
-            return
-        work.is_cancelled = True
         if work.entry.state is EntryState.WAITING:
             self.admission.withdraw(work.entry)
             self.in_progress -= 1
-        elif work.task is not None:
-            work.task.cancel()
+        elif work.entry.state is EntryState.RUNNING and work.exchange is not None:
+            work.exchange.cancel()
+            self._finish(work, None)
 
     def apply_slots(self, slots):
         """Use the number of slots that the server has told."""
@@ -202,74 +193,71 @@
 
     def _on_decided(self, work):
         if work.entry.state is EntryState.RUNNING:
-            if work.is_inline:
-                return
-            loop = asyncio.get_running_loop()
-            work.task = loop.create_task(self._hand_over(work))
+            self._hand_over(work)
             return
         self.in_progress -= 1
         late = work.call.deadline <= self._clock()
         self._refuse(work.call, work.reply, Reason.DEADLINE if late else Reason.SHED)
 
-    async def _hand_over(self, work):
+    def _hand_over(self, work):
         call = work.call
         now = self._clock()
         remaining = call.deadline - now
         reason = None
-        if work.is_cancelled:
-            reason = Reason.CANCELLED
-        elif remaining <= 0:
+        if remaining <= 0:
             reason = Reason.DEADLINE
         elif not self.life.admits(now):
             reason = Reason.LEAVING
         if reason is not None:
-            self.admission.abandon(work.entry, now)
-            self.in_progress -= 1
-            self._refuse(call, work.reply, reason)
+            # Frees a place, which may begin the next call: not within this one.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._give_back, work, reason)
             return
-        answer = None
         self._running[call.request_id] = call
+        work.exchange = self._client.begin(
+            partial(self._on_answered, work),
+            self._make_head(call, remaining),
+            call.body,
+            partial(self._accepts, work),
+            is_head=call.method == "HEAD",
+            timeout=remaining + ANSWER_GRACE_SECONDS,
+        )
+
+    def _give_back(self, work, reason):
+        self.in_progress -= 1
+        self.admission.abandon(work.entry, self._clock())
+        self._refuse(work.call, work.reply, reason)
+
+    def _accepts(self, work, response):
+        verdict = work.verdict = read_verdict(response)
+        if verdict.attempt_id:
+            return verdict.attempt_id == work.call.request_id
+        return response.status >= 400
+
+    def _on_answered(self, work, response, error):
         try:
-            answer = await self._exchange(call, remaining)
-        except Exception as error:
-            log_event(Event.TASK_FAILED, task="hand_over", error=repr(error))
+            answer = self._interpret(work, response, error)
+        except Exception as problem:
+            log_event(Event.TASK_FAILED, task="hand_over", error=repr(problem))
             answer = Answer(Outcome.UNKNOWN, Reason.SERVER_ERROR)
-        finally:
-            self._running.pop(call.request_id, None)
-            self._finish(work, answer)
-
-    async def _exchange(self, call, remaining):
-        attempt_id = call.request_id
-        verdict = None
-
-        def accepts(response):
-            nonlocal verdict
-            verdict = read_verdict(response)
-            if verdict.attempt_id:
-                return verdict.attempt_id == attempt_id
-            return response.status >= 400
-
-        head = self._make_head(call, remaining)
-        try:
-            response = await self._client.send(
-                head,
-                call.body,
-                accepts,
-                is_head=call.method == "HEAD",
-                timeout=remaining + ANSWER_GRACE_SECONDS,
-            )
-        except ConnectFailedError:
+        self._finish(work, answer)
+
+    def _interpret(self, work, response, error):
+        """Return the `Answer` that the end of an exchange stands for."""
+        if error is None:
+            self._connect_failures = 0
+            return self._judge(response, work.verdict, work.call.request_id)
+        if isinstance(error, ConnectFailedError):
             self._note_connect_failure()
             return Answer(Outcome.NOT_RUN, Reason.SERVER_UNREACHABLE)
-        except ConnectionLostError:
-            return Answer(Outcome.UNKNOWN, Reason.SERVER_LOST)
-        except GarbledResponseError:
-            return Answer(Outcome.UNKNOWN, Reason.SERVER_GARBLED)
-        except TimeoutError:
+        if isinstance(error, TimeoutError):
             self._client.suspect()
             return Answer(Outcome.UNKNOWN, Reason.DEADLINE)
-        self._connect_failures = 0
-        return self._judge(response, verdict or read_verdict(response), attempt_id)
+        if isinstance(error, ConnectionLostError):
+            return Answer(Outcome.UNKNOWN, Reason.SERVER_LOST)
+        if isinstance(error, GarbledResponseError):
+            return Answer(Outcome.UNKNOWN, Reason.SERVER_GARBLED)
+        raise error
 
     def _judge(self, response, verdict, attempt_id):
         status = response.status
@@ -312,6 +300,7 @@
 
     def _finish(self, work, answer):
         now = self._clock()
+        self._running.pop(work.call.request_id, None)
         self.in_progress -= 1
         if answer is None or answer.outcome is Outcome.NOT_RUN:
             self.admission.abandon(work.entry, now)
--- /dev/null
+++ b/src/ragworthoist/net/exchanges.py
@@ -0,0 +1,368 @@
+"""One connection to a server on httptools, and the exchanges it carries.
+
+It tells precisely how far a request has come when something goes wrong, skips
+answers that belong to other requests, and is not reused once surplus bytes arrived.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import httptools
+
+from ragworthoist.exceptions import (
+    BodyCutError,
+    ConnectionLostError,
+    GarbledResponseError,
+)
+from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
+from ragworthoist.net.sockets import guard_socket
+
+DEFAULT_IDLE_SECONDS = 4.0
+_BODILESS = frozenset({204, 304})
+
+
+@dataclass(slots=True)
+class Response:
+    """The answer to one request; a long body is a `BodyPipe`."""
+
+    status: int
+    headers: list
+    body: object = b""
+
+    def find_header(self, name):
+        """Return the value of the header `name` (lower case), empty when absent."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return b""
+
+
+@dataclass(slots=True)
+class _Message:
+    """A response as it arrives; a long body gets a pipe, a short one is joined."""
+
+    headers: list = field(default_factory=list)
+    parts: list = field(default_factory=list)
+    size: int = 0
+    pipe: object = None
+    response: object = None
+    is_foreign: bool = False
+    is_framed: bool = False
+    keep_alive: bytes = b""
+
+
+class Exchange:
+    """One request under way.
+
+    `on_done` is called once with the `Response` and None, or with None and the
+    error that `HttpClient.send` would raise, unless the exchange is cancelled.
+    """
+
+    __slots__ = ("head", "body", "accepts", "is_head", "end", "on_done",
+                 "connection", "task")  # fmt: skip
+
+    def __init__(self, head, body, accepts, is_head, end, on_done):
+        self.head = head
+        self.body = body
+        self.accepts = accepts
+        self.is_head = is_head
+        self.end = end
+        self.on_done = on_done
+        self.connection = None
+        self.task = None
+
+    def cancel(self):
+        """End the exchange without a word; its connection is closed."""
+        if self.task is not None:
+            self.task.cancel()
+        connection = self.connection
+        if connection is not None and connection._exchange is self:
+            connection._exchange = None
+            connection.abort()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One kept connection, with at most one exchange under way.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Told when the connection is free or lost.
+    """
+
+    def __init__(self, client):
+        self._client = client
+        self._loop = asyncio.get_running_loop()
+        self._transport = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._message = None
+        self._exchange = None
+        self._timer = None
+        self._writable = None
+        self._sender = None
+        self._error = None
+        self._paused = False
+        self._is_parsing = False
+        self._is_done = False
+        self.is_reusable = True
+        self.is_lost = False
+        self.idle_since = 0.0
+        self.idle_seconds = DEFAULT_IDLE_SECONDS
+
+    @property
+    def is_idle(self):
+        """Whether no exchange is under way."""
+        return self._exchange is None and self._message is None
+
+    @property
+    def is_usable(self):
+        """Whether the next exchange may begin here."""
+        return (
+            self.is_reusable
+            and self.is_idle
+            and not self.is_lost
+            and self._sender is None
+        )
+
+    # Transport callbacks.
+
+    def connection_made(self, transport):
+        """Begin to serve exchanges."""
+        self._transport = transport
+        guard_socket(transport.get_extra_info("socket"))
+
+    def data_received(self, data):
+        """Parse what the server has sent."""
+        self._client.last_heard = self._loop.time()
+        if self.is_idle:
+            # An answer nobody waits for: the connection is out of step.
+            self.abort()
+            return
+        self._is_parsing = True
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(GarbledResponseError(str(error)))
+            self.abort()
+        finally:
+            self._is_parsing = False
+        if self._is_done:
+            self._is_done = False
+            self._client.release(self)
+
+    def eof_received(self):
+        """End a body that has no length of its own."""
+        message = self._message
+        if message is not None and message.response and not message.is_framed:
+            # Without a length the body ends with its connection.
+            self.is_reusable = False
+            self._complete()
+        return False
+
+    def connection_lost(self, error):
+        """Fail the exchange under way."""
+        self.is_lost = True
+        self.is_reusable = False
+        self._resume_writer()
+        self._fail(ConnectionLostError(str(error or "closed")))
+        self._client.forget(self)
+
+    def pause_writing(self):
+        """Make a streamed body wait: the server reads slowly."""
+        self._writable = self._loop.create_future()
+
+    def resume_writing(self):
+        """Let a streamed body go on."""
+        self._resume_writer()
+
+    # Parser callbacks.
+
+    def on_message_begin(self):
+        """Begin the head of an answer."""
+        if self.is_idle:
+            self.is_reusable = False
+            return
+        self._message = _Message()
+
+    def on_header(self, name, value):
+        """Collect one header."""
+        message = self._message
+        if message is None:
+            return
+        name = name.lower()
+        message.headers.append((name, value))
+        if name == b"content-length":
+            message.is_framed = True
+        elif name == b"transfer-encoding":
+            message.is_framed = b"chunked" in value.lower()
+        elif name == b"keep-alive":
+            message.keep_alive = value
+
+    def on_headers_complete(self):
+        """Check whether the answer belongs to the exchange."""
+        message = self._message
+        if message is None:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            message.is_foreign = True
+            return
+        response = Response(status, message.headers)
+        exchange = self._exchange
+        if exchange is None or not exchange.accepts(response):
+            # An answer to an earlier request, late.
+            message.is_foreign = True
+            self.is_reusable = False
+            return
+        if not self._parser.should_keep_alive():
+            self.is_reusable = False
+        message.response = response
+        if message.keep_alive:
+            self._note_keep_alive(message.keep_alive)
+        if exchange.is_head or status in _BODILESS:
+            if exchange.is_head:
+                self.is_reusable = False
+            self._complete()
+
+    def on_body(self, data):
+        """Collect or stream a part of the body."""
+        message = self._message
+        if message is None or message.is_foreign:
+            return
+        if message.pipe is None:
+            message.parts.append(data)
+            message.size += len(data)
+            if message.size >= HIGH_WATER_BYTES:
+                self._open_pipe(message)
+            return
+        message.pipe.feed(data)
+        if message.pipe.is_full:
+            self._pause()
+
+    def on_message_complete(self):
+        """Deliver an answer that is whole."""
+        message = self._message
+        if message is None:
+            return
+        if message.is_foreign:
+            self._message = None
+            return
+        self._complete()
+
+    # Requests.
+
+    def start(self, exchange):
+        """Send the request of `exchange`, which is told how it ends."""
+        self._exchange = exchange
+        body = exchange.body
+        if exchange.end is not None:
+            self._timer = self._loop.call_at(exchange.end, self._time_out)
+        if isinstance(body, BodyPipe):
+            self._transport.write(exchange.head)
+            self._sender = self._loop.create_task(self._send_piped(body))
+        else:
+            self._transport.write(exchange.head + body if body else exchange.head)
+
+    def abort(self):
+        """Close at once; the server notices that nobody waits."""
+        self.is_reusable = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._sender is not None:
+            self._sender.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _send_piped(self, body):
+        try:
+            while data := await body.read():
+                self._transport.write(b"%x\r\n" % len(data) + data + b"\r\n")
+                if self._writable is not None:
+                    await self._writable
+                if self.is_lost:
+                    return
+            self._transport.write(b"0\r\n\r\n")
+            self._sender = None
+        except BodyCutError:
+            # The client's body broke off, and so does the request.
+            self.abort()
+
+    def _open_pipe(self, message):
+        """Deliver a long answer before it is complete."""
+        pipe = message.pipe = BodyPipe(
+            on_read=self._on_body_read, on_discard=self.abort, on_close=self._on_closed
+        )
+        for part in message.parts:
+            pipe.feed(part)
+        message.parts.clear()
+        self._deliver(message.response, pipe)
+        self._pause()
+
+    def _deliver(self, response, body):
+        response.body = body
+        self._settle(response, None)
+
+    def _settle(self, response, error):
+        exchange, self._exchange = self._exchange, None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if exchange is not None:
+            exchange.on_done(response, error)
+
+    def _complete(self):
+        message, self._message = self._message, None
+        if message is None or message.response is None:
+            return
+        if self._sender is not None:
+            # The server has not read the rest of the body; what follows on this
+            # connection would be taken for it.
+            self.is_reusable = False
+        if message.pipe is not None:
+            message.pipe.end()
+            return
+        self._deliver(message.response, b"".join(message.parts))
+        self._on_closed()
+
+    def _time_out(self):
+        self._fail(TimeoutError())
+
+    def _fail(self, error):
+        message, self._message = self._message, None
+        if message is not None and message.pipe is not None:
+            message.pipe.cut()
+        if self._exchange is not None:
+            self.abort()
+            self._settle(None, error)
+
+    def _on_closed(self):
+        # What stands behind the body in the same bytes has to be seen first.
+        if self._is_parsing:
+            self._is_done = True
+        else:
+            self._loop.call_soon(self._client.release, self)
+
+    def _note_keep_alive(self, value):
+        if value.startswith(b"timeout="):
+            digits = value[len(b"timeout=") :].split(b",")[0].strip()
+            if digits.isdigit():
+                self.idle_seconds = float(digits)
+
+    def _on_body_read(self, _count):
+        message = self._message
+        pipe = message.pipe if message is not None else None
+        if self._paused and (pipe is None or not pipe.is_full):
+            self._paused = False
+            if not self.is_lost:
+                self._transport.resume_reading()
+
+    def _pause(self):
+        if not self._paused and not self.is_lost:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _resume_writer(self):
+        writable, self._writable = self._writable, None
+        if writable is not None and not writable.done():
+            writable.set_result(None)
--- a/tests/edge/test_handover.py
+++ b/tests/edge/test_handover.py
@@ -12,7 +12,7 @@
     ConnectionLostError,
     GarbledResponseError,
 )
-from ragworthoist.net.client import Response
+from ragworthoist.net.exchanges import Response
 
 ATTEMPT = b"a1"
 SEALED = ((b"attempt-id", ATTEMPT), (b"server-seal", b"s"))
@@ -22,7 +22,7 @@
     """Answers with a fixed result, or when `release` is set."""
 
     def __init__(self, result=None, waits=False):
-        self._result = result
+        self.result = result
         self.waits = waits
         self.release = asyncio.Event()
         self.heads = []
@@ -31,17 +31,29 @@
     def suspect(self):
         self.suspected = True
 
-    async def send(self, head, body, accepts, is_head, timeout):
+    def begin(self, on_done, head, body, accepts, is_head, timeout):
         self.heads.append(head)
-        try:
-            if self.waits:
-                await self.release.wait()
-        except asyncio.CancelledError:
-            self.cancelled += 1
-            raise
-        if isinstance(self._result, Exception):
-            raise self._result
-        return self._result
+        return FakeExchange(self, on_done, accepts)
+
+
+class FakeExchange:
+    def __init__(self, client, on_done, accepts):
+        self._client = client
+        self._task = asyncio.create_task(self._run(on_done, accepts))
+
+    async def _run(self, on_done, accepts):
+        result = self._client.result
+        if self._client.waits:
+            await self._client.release.wait()
+        if isinstance(result, Exception):
+            on_done(None, result)
+        else:
+            accepts(result)
+            on_done(result, None)
+
+    def cancel(self):
+        self._client.cancelled += 1
+        self._task.cancel()
 
 
 class Clock:
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -103,7 +103,7 @@
                 request_id = b"%d" % number
                 try:
                     response = await client.send(
-                        HEAD % request_id, b"", accepts(request_id)
+                        HEAD % request_id, accepts=accepts(request_id)
                     )
                     results.append(await read_body(response))
                 except (ConnectionLostError, GarbledResponseError, BodyCutError) as e:
@@ -172,7 +172,7 @@
                 ScriptedServer([[whole(), b""], b""]) as server,
                 HttpClient(server.address) as client,
             ):
-                await client.send(HEAD % b"1", b"", accepts(b"1"))
+                await client.send(HEAD % b"1", accepts=accepts(b"1"))
                 await asyncio.sleep(0)
                 [connection] = client._idle
                 connection.data_received(whole(b"late", b"0"))
@@ -238,7 +238,7 @@
                 head = b"POST / HTTP/1.1\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n"
                 pipe = BodyPipe()
                 pipe.feed(b"some")
-                response = await client.send(head, pipe, accepts(b"1"))
+                response = await client.send(head, pipe, accepts=accepts(b"1"))
                 await asyncio.sleep(0)
                 return response.body, client._idle
 
@@ -252,7 +252,7 @@
                 ScriptedServer([whole()]) as server,
                 HttpClient(server.address) as client,
             ):
-                await client.send(HEAD % b"1", b"", accepts(b"1"))
+                await client.send(HEAD % b"1", accepts=accepts(b"1"))
                 await asyncio.sleep(0)
                 client.last_heard -= silence
                 client.suspect()
--- a/tests/platform/test_platform_headers.py
+++ b/tests/platform/test_platform_headers.py
@@ -1,6 +1,6 @@
 import pytest
 
-from ragworthoist.net.client import Response
+from ragworthoist.net.exchanges import Response
 from ragworthoist.platform.headers import (
     forward_answer_headers,
     make_hand_over_headers,
