Log changes of a process at any rate

Change: events of the process itself and of what it depends on pass at any rate.

Measured: the new tests fail before and pass after.

--- a/src/ragworthoist/_logs.py
+++ b/src/ragworthoist/_logs.py
@@ -2,14 +2,15 @@
 
 Lines are written without waiting: what the reader does not take in time, or what
 passes the rates, is counted and reported once a second. Failures have a part of the
-rates to themselves, so that they are kept before successes.
+rates to themselves, so that they are kept before successes, and changes of the
+process itself pass at any rate.
 """
 
 import json
 import os
 import time
 
-from ragworthoist.events import ROUTINE_EVENTS, Event
+from ragworthoist.events import LIFE_EVENTS, ROUTINE_EVENTS, Event
 
 # Part of the rates that only events other than routine ones may use.
 RESERVED_SHARE = 0.5
@@ -44,6 +45,8 @@
         now = self._clock()
         if now >= self._period_end:
             self._start_period(now)
+        if event in LIFE_EVENTS:
+            return True
         share = 1.0 - RESERVED_SHARE if event in ROUTINE_EVENTS else 1.0
         if (
             self._lines >= share * self._lines_per_second
--- a/src/ragworthoist/events.py
+++ b/src/ragworthoist/events.py
@@ -48,6 +48,25 @@
 # Events of requests that went well; under load they give way to all others.
 ROUTINE_EVENTS = frozenset({Event.REQUEST_SERVED, Event.CALL_HANDED})
 
+# Changes of a process and of what it depends on. They come one at a time, far fewer
+# than requests, and explain what follows them, so no rate leaves them out.
+LIFE_EVENTS = frozenset(
+    {
+        Event.NODE_STARTED,
+        Event.NODE_SERVING,
+        Event.NODE_READY,
+        Event.NODE_LEAVING,
+        Event.NODE_STOPPED,
+        Event.NODE_WAS_PAUSED,
+        Event.SETTINGS_RELOADED,
+        Event.SERVER_STATE_CHANGED,
+        Event.CONFIGURATION_ADOPTED,
+        Event.CONFIGURATION_REFUSED,
+        Event.STORE_UNAVAILABLE,
+        Event.STORE_AVAILABLE,
+    }
+)
+
 _gates = []
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,7 +5,7 @@
 
 from ragworthoist._logs import PERIOD_SECONDS, LogWriter
 from ragworthoist._settings import LogSettings
-from ragworthoist.events import Event
+from ragworthoist.events import LIFE_EVENTS, Event
 
 SETTINGS = LogSettings(lines_per_second=10, bytes_per_second=100_000)
 
@@ -55,6 +55,15 @@
     assert writer.left_out == 30
 
 
+@pytest.mark.parametrize("event", sorted(LIFE_EVENTS))
+def test_a_change_of_the_process_is_told_beyond_the_rates(pipe, event):
+    writer = LogWriter(pipe[1], SETTINGS, Clock())
+    for _ in range(20):
+        log(writer, Event.REQUEST_FAILED)
+    log(writer, event)
+    assert read_lines(pipe[0])[-1]["message_type"] == event.name
+
+
 def test_what_was_left_out_is_told_in_the_next_period(pipe):
     clock = Clock()
     writer = LogWriter(pipe[1], SETTINGS, clock)
