Name the endpoint of a failed request, and log when a peer is doubted

Change: lines of requests name the endpoint that was tried last; event 213 tells of the peer and how many calls were released.

Measured: the test of a silent stream asks for the event, and failed without it.

Conclusion: the log leads from the request to the peer.

--- a/src/ragworthoist/core/entities.py
+++ b/src/ragworthoist/core/entities.py
@@ -87,6 +87,7 @@
     `unused` is the part of the retry allotment that comes back. `retryable` is
     false when repeating the attempt elsewhere would meet the same refusal. `load` is
     the share of its limit that the endpoint has in use, above 1 while calls wait.
+    `endpoint` is the instance that was tried, which only the caller's node notes.
     """
 
     outcome: Outcome
@@ -98,6 +99,7 @@
     retryable: bool = True
     levels: list = field(default_factory=list)
     load: float = 0.0
+    endpoint: bytes = b""
 
 
 def refuse(reason, call=None, retryable=True):
--- a/src/ragworthoist/edge/dispatching.py
+++ b/src/ragworthoist/edge/dispatching.py
@@ -73,7 +73,7 @@
         if best is not None:
             return best
         if may_have_run and answer.outcome is Outcome.NOT_RUN:
-            answer = Answer(Outcome.UNKNOWN, answer.reason)
+            answer = Answer(Outcome.UNKNOWN, answer.reason, endpoint=answer.endpoint)
         return answer
 
     def _choose(self, call, excluded, now):
@@ -96,6 +96,7 @@
                 answer = await node.handover.serve(call)
             else:
                 answer = await node.peers.call(endpoint, call)
+            answer.endpoint = endpoint.instance
         finally:
             self._learn(endpoint, call, answer, started)
         return answer
--- a/src/ragworthoist/edge/entrance.py
+++ b/src/ragworthoist/edge/entrance.py
@@ -137,6 +137,7 @@
             outcome=answer.outcome.label,
             reason=answer.reason.value,
             status=answer.status or _status_of(answer),
+            endpoint=answer.endpoint.hex(),
             load=round(answer.load, 2),
             after_ms=_milliseconds(node.clock() - started),
         )
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -1,8 +1,7 @@
 """The multiplexed stream between two nodes.
 
-Either side may call the other. Frames are dispatched as they arrive, and what is to
-be sent within one turn of the event loop leaves in one write, so a call costs few
-switches.
+Either side may call the other. Frames are dispatched as they arrive and written at
+once; the transport joins what is written within one turn of the event loop.
 """
 
 import asyncio
@@ -10,6 +9,7 @@
 import msgpack
 
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
+from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import FrameError
 from ragworthoist.net.bodies import BodyPipe
 from ragworthoist.net.calls import (
@@ -180,11 +180,15 @@
 
     def _release_idempotent(self):
         """End calls that may be tried elsewhere without waiting for the peer."""
+        released = 0
         for pending in list(self._pending.values()):
             if pending.idempotent and pending.answer is None:
                 pending.answer = Answer(Outcome.UNKNOWN, Reason.PEER_LOST)
                 pending.gave_up = True
                 pending.finish()
+                released += 1
+        if released:
+            log_event(Event.PEER_DOUBTED, peer=self.peer.hex(), calls=released)
 
     async def _ask(self, kind, content):
         if self.closed:
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -3,11 +3,13 @@
 import random
 
 import anyio
+import eliot
 import msgpack
 import pytest
 from fakes import complete
 
 from ragworthoist.core.entities import Call, Outcome, Reason
+from ragworthoist.events import Event
 from ragworthoist.net.frames import MAX_BODY_BYTES, FrameKind, pack_call
 from ragworthoist.net.liveness import (
     CHECK_AFTER_SECONDS,
@@ -362,9 +364,16 @@
 
         opener = FakeHost(b"opener00")
         opener.clock = clock
-        [ended] = anyio.run(lambda: run_pair(scenario, opener))
+        events = []
+        eliot.add_destinations(events.append)
+        try:
+            [ended] = anyio.run(lambda: run_pair(scenario, opener))
+        finally:
+            eliot.remove_destination(events.append)
         # Only a call that may be repeated is given up before the stream is.
         assert ended == (Outcome.UNKNOWN, Reason.PEER_LOST, not idempotent)
+        doubts = [e["calls"] for e in events if e["number"] == Event.PEER_DOUBTED]
+        assert doubts == ([1] if idempotent else [])
 
     def test_a_stream_that_answers_is_not_doubted(self):
         clock = FakeClock()
