Judge by its own kind whether a call can still be in time

Change: with room, a call is refused only if less time is left than the quickest of its kind take; each refusal lowers that time. The line of a refusal gives both times.

--- a/src/ragworthoist/core/admission.py
+++ b/src/ragworthoist/core/admission.py
@@ -21,6 +21,12 @@
 MAX_QUEUE = 2000
 QUEUE_PER_LIMIT = 6.0
 SERVICE_TIME_SMOOTHING = 0.05
+# A slower answer moves the quickest known time by this part only, so that it stays near
+# the time of the quickest one in twenty.
+QUICKEST_SMOOTHING = 0.02
+# What is refused teaches nothing: each refusal lowers the time, so that a call is tried
+# again after a few dozen at most.
+QUICKEST_DECAY = 0.95
 BASELINE_QUEUE = 1_000_000
 
 
@@ -141,6 +147,7 @@
         self.in_flight = 0
         self.levels = LevelTable()
         self.service_time = 0.0
+        self._quickest = {}
         self._ranks = {}
         self._length = 0
         self.apply(policy)
@@ -171,6 +178,15 @@
         wanted = self.limiter.limit * QUEUE_PER_LIMIT
         return int(max(MIN_QUEUE, min(MAX_QUEUE, wanted)))
 
+    def estimate(self, kind):
+        """Return the seconds that a call of `kind` is expected to take, once running.
+
+        A busy server should not spend slots on calls that will mostly be late. With
+        room to spare only those are hopeless that are shorter of time than the
+        quickest of their kind.
+        """
+        return self.service_time if self.is_busy else self._quickest.get(kind, 0.0)
+
     def count_ahead(self, rank):
         """Return how many waiting calls would be handed over before one of `rank`."""
         return sum(queue.length for r, queue in self._ranks.items() if r <= rank)
@@ -187,7 +203,9 @@
     def offer(self, entry, now):
         """Take `entry` in; its `notify` is called now or later."""
         call = entry.call
-        if now + self.service_time >= call.deadline:
+        if now + self.estimate(call.kind) >= call.deadline:
+            if call.kind in self._quickest:
+                self._quickest[call.kind] *= QUICKEST_DECAY
             self._refuse(entry)
             return
         if self.in_flight < self.limiter.limit and not self._length:
@@ -222,8 +240,16 @@
         if ok:
             change = latency - self.service_time
             self.service_time += SERVICE_TIME_SMOOTHING * change
+            self._learn_quickest(entry.call.kind, latency)
         self.start_waiting(now)
 
+    def _learn_quickest(self, kind, latency):
+        known = self._quickest.get(kind)
+        if known is None or latency < known:
+            self._quickest[kind] = latency
+        else:
+            self._quickest[kind] = known + QUICKEST_SMOOTHING * (latency - known)
+
     def abandon(self, entry, now):
         """Free the place of a call whose hand-over turned out not to happen."""
         entry.state = EntryState.DONE
--- a/src/ragworthoist/edge/handover.py
+++ b/src/ragworthoist/edge/handover.py
@@ -183,6 +183,8 @@
             in_flight=self.admission.in_flight,
             waiting=len(self.admission),
             limit=self.admission.limiter.limit,
+            left_ms=round((call.deadline - self._clock()) * 1000, 1),
+            expected_ms=round(self.admission.estimate(call.kind) * 1000, 1),
         )
         reply(answer)
 
