--- /dev/null
+++ b/bench/attempt_latency.py
@@ -0,0 +1,136 @@
+"""Latency that the edge for attempts adds to a call, and what a call costs there.
+
+Calls go to the backend server directly, through its own node (one hop), and through
+the node of another service (two hops), in turn in the same run, by one caller that
+waits for each answer. Processor time is that of the node processes for each call by
+the last way alone.
+"""
+
+import os
+import time
+import urllib.request
+from pathlib import Path
+
+import anyio
+import defopt
+
+from ragworthoist_lab.mesh import HOST, Mesh
+from ragworthoist_lab.report import percentile
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+WARM_UP_CALLS = 300
+LOOP = {"backend_options": {"use_uvloop": True}}
+WAYS = ("direct", "one hop", "two hops")
+
+
+def read_cpu_seconds(process):
+    """Return the processor time of a process, in seconds."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def read_peak_megabytes(process):
+    """Return the largest resident size of a process so far, in MB."""
+    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def measure(*, calls: int = 3000, rounds: int = 2):
+    """Print added latency, processor time for each call, and memory of the nodes.
+
+    :param calls: calls by each way in each round
+    :param rounds: number of rounds
+    """
+    with Mesh({"stock": 1, "orders": 1}) as mesh:
+        mesh.configure({"/stock/": {"service": "stock"}})
+        mesh.wait_until_ready()
+        mesh.wait_for_version()
+        for endpoint in mesh.endpoints:
+            mesh.control_server(endpoint, "behaviour", {"service_seconds": 0.0})
+        figures = [
+            anyio.run(_measure_round, mesh, calls, **LOOP) for _ in range(rounds)
+        ]
+        nodes = [endpoint.node for endpoint in mesh.endpoints]
+        before = [read_cpu_seconds(node) for node in nodes]
+        anyio.run(_repeat, mesh, calls, **LOOP)
+        spent = [read_cpu_seconds(n) - b for n, b in zip(nodes, before, strict=True)]
+        peaks = [read_peak_megabytes(node) for node in nodes]
+    for way in WAYS:
+        cells = [f"{f[way][0]:.2f} / {f[way][1]:.2f}" for f in figures]
+        print(f"| {way} | " + " | ".join(cells) + " |")
+    for way in WAYS[1:]:
+        added = [f"{f[way][1] - f['direct'][1]:.2f}" for f in figures]
+        print(f"added by {way} at p99, ms: {', '.join(added)}")
+    callee, entrance = (1e6 * seconds / calls for seconds in spent)
+    print(f"processor time of a call, us: entrance {entrance:.0f}, callee {callee:.0f}")
+    print(f"memory at its peak, MB: {', '.join(f'{peak:.1f}' for peak in peaks)}")
+
+
+class _Caller:
+    """One kept connection; reads whole responses with as little work as it can."""
+
+    def __init__(self, stream, instance):
+        self._stream = stream
+        self._head = (
+            f"GET /stock/check HTTP/1.1\r\nhost: {HOST}\r\ndeadline-ms: 5000\r\n"
+            f"expect-instance: {instance}\r\nattempt-id: %016x\r\n\r\n"
+        )
+
+    @classmethod
+    async def connect(cls, port, instance):
+        return cls(await anyio.connect_tcp("127.0.0.1", port), instance)
+
+    async def call(self, number):
+        await self._stream.send((self._head % number).encode())
+        data = await self._stream.receive()
+        while not _is_whole(data):
+            data += await self._stream.receive()
+        assert data.startswith(b"HTTP/1.1 200")
+
+
+def _is_whole(data):
+    head, end, body = data.partition(b"\r\n\r\n")
+    if not end:
+        return False
+    _, declared, rest = head.lower().partition(b"content-length: ")
+    if declared:
+        return len(body) >= int(rest.split(b"\r\n")[0])
+    return body.endswith(b"0\r\n\r\n")
+
+
+async def _connect_all(mesh):
+    stock, orders = mesh.endpoints
+    url = f"http://127.0.0.1:{stock.ports['server']}/health"
+    with urllib.request.urlopen(url) as response:
+        instance = response.headers["instance-id"]
+    ports = (stock.ports["server"], stock.ports["entrance"], orders.ports["entrance"])
+    return [await _Caller.connect(port, instance) for port in ports]
+
+
+async def _measure_round(mesh, calls):
+    """Return (p50, p99) in ms of each way."""
+    callers = await _connect_all(mesh)
+    seconds = {way: [] for way in WAYS}
+    for number in range(calls + WARM_UP_CALLS):
+        for way, caller in zip(WAYS, callers, strict=True):
+            started = time.perf_counter()
+            await caller.call(number * len(WAYS) + WAYS.index(way))
+            if number >= WARM_UP_CALLS:
+                seconds[way].append(time.perf_counter() - started)
+    return {
+        way: tuple(1000 * percentile(sorted(found), share) for share in (0.5, 0.99))
+        for way, found in seconds.items()
+    }
+
+
+async def _repeat(mesh, calls):
+    """Make `calls` calls by two hops."""
+    caller = (await _connect_all(mesh))[-1]
+    for number in range(calls):
+        await caller.call(number)
+
+
+if __name__ == "__main__":
+    defopt.run(measure, cli_options="has_default")
