Ask the server who it is as soon as routes are known

Cause: a node that starts asks the server beside it for its id, at once, when it has no routes yet, and again half a second later; a report of the server came first.

Change: the question waits for the routes only.

Measured: the new test fails before.

--- a/src/ragworthoist/edge/reporting.py
+++ b/src/ragworthoist/edge/reporting.py
@@ -9,6 +9,9 @@
 from ragworthoist.platform.reports import decode_heartbeat, split_call
 
 VERIFY_RETRY_SECONDS = 0.5
+# Routes arrive some tens of milliseconds after a start, and no call is handed over
+# before the server is known.
+ROUTES_POLL_SECONDS = 0.02
 VERIFY_TIMEOUT_SECONDS = 1.0
 MAX_REPORT_BYTES = 64 * 1024
 _JSON = ((b"content-type", b"application/json"),)
@@ -50,9 +53,12 @@
         """Ask the server for its id until it is known, once the path is known."""
         node = self._node
         while node.life.state is ServerState.UNKNOWN:
-            if node.policy is not None and await self._ask():
+            if node.policy is None:
+                await anyio.sleep(ROUTES_POLL_SECONDS)
+            elif await self._ask():
                 return
-            await anyio.sleep(VERIFY_RETRY_SECONDS)
+            else:
+                await anyio.sleep(VERIFY_RETRY_SECONDS)
 
     def _take(self, instance, raw, now):
         try:
--- /dev/null
+++ b/tests/edge/test_reporting.py
@@ -0,0 +1,70 @@
+"""What a node learns of the server beside it, from its answers and reports."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from ragworthoist.core.lifetimes import ServerLife, ServerState
+from ragworthoist.core.routes import ServiceInfo
+from ragworthoist.edge import reporting
+from ragworthoist.edge.reporting import (
+    ROUTES_POLL_SECONDS,
+    VERIFY_RETRY_SECONDS,
+    ServerReports,
+)
+from ragworthoist.exceptions import ConnectFailedError
+from ragworthoist.net.exchanges import Response
+
+READY = Response(200, [(b"instance-id", b"i-1")])
+
+
+class FakeNode:
+    """Knows its routes after `waits` pauses, with a server that answers a script."""
+
+    def __init__(self, waits, script):
+        self.waits = waits
+        self.clock = lambda: 1.0
+        self.life = ServerLife("shop", "here:1", 2.0)
+        self.settings = SimpleNamespace(node=SimpleNamespace(service="shop"))
+        self.server_client = self
+        self.paused = []
+        self._script = list(script)
+
+    @property
+    def policy(self):
+        if len(self.paused) < self.waits:
+            return None
+        return SimpleNamespace(service=lambda name: ServiceInfo(name, "/health", 8))
+
+    async def send(self, _head):
+        answer = self._script.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def pause(self, seconds):
+        self.paused.append(seconds)
+
+
+@pytest.mark.parametrize(
+    ("waits", "script", "paused", "state"),
+    [
+        (0, [READY], [], ServerState.READY),
+        (2, [READY], [ROUTES_POLL_SECONDS] * 2, ServerState.READY),
+        (
+            1,
+            [ConnectFailedError("here:1", "refused"), READY],
+            [ROUTES_POLL_SECONDS, VERIFY_RETRY_SECONDS],
+            ServerState.READY,
+        ),
+        (0, [Response(503, [(b"instance-id", b"i-1")])], [], ServerState.UNKNOWN),
+    ],
+)
+def test_the_server_is_asked_as_soon_as_routes_are_known(
+    monkeypatch, waits, script, paused, state
+):
+    node = FakeNode(waits, script)
+    monkeypatch.setattr(reporting.anyio, "sleep", node.pause)
+    anyio.run(ServerReports(node).verify_server)
+    assert (node.paused, node.life.state) == (paused, state)
