--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -209,13 +209,17 @@
 
     def test_a_late_answer_reaches_nobody_else(self):
         async def scenario(stream, _acceptor):
-            late = make_call("/late/5", deadline=anyio.current_time() + 0.01)
+            # Stands still, so that the call is sent however long the machine takes.
+            now = anyio.current_time()
+            opener.clock = lambda: now
+            late = make_call("/late/5", deadline=now + 0.01)
             first = await stream.call(late)
             second = await stream.call(make_call("/next/9", b"next"))
             return first, second
 
+        opener = FakeHost(b"opener00")
         acceptor = FakeHost(b"accept00", delays=(0.2, 0.3))
-        first, second = anyio.run(lambda: run_pair(scenario, acceptor=acceptor))
+        first, second = anyio.run(lambda: run_pair(scenario, opener, acceptor))
 
         assert (first.outcome, first.reason) == (Outcome.UNKNOWN, Reason.DEADLINE)
         assert second.body == hashlib.sha256(b"next").digest() + bytes(9)
