Collect the metrics of both edges, and note the store's loss, in one place

The gauges of both edges, the note that the store is lost or back, the look-up of a header and the processor time of a benchmark each stood twice.

Change: _metrics.py collects what every node has, StoreDependency stands beside the store's interface and serves Keeper too, find_header of net.web serves the tests, and attempt_latency.py takes the measure of latency.py. An attribute that nothing read is gone. The help text of the requests metric is the same for both edges now; nothing else that is served or logged differs.

--- a/bench/attempt_latency.py
+++ b/bench/attempt_latency.py
@@ -6,29 +6,20 @@
 the last way alone.
 """
 
-import os
 import time
 import urllib.request
 from pathlib import Path
 
 import anyio
 import defopt
+from latency import LOOP, WARM_UP_CALLS, read_cpu_seconds
 
 from ragworthoist_lab.mesh import HOST, Mesh
 from ragworthoist_lab.report import percentile
 
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-WARM_UP_CALLS = 300
-LOOP = {"backend_options": {"use_uvloop": True}}
 WAYS = ("direct", "one hop", "two hops")
 
 
-def read_cpu_seconds(process):
-    """Return the processor time of a process, in seconds."""
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(") ", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
 def read_peak_megabytes(process):
     """Return the largest resident size of a process so far, in MB."""
     for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
--- a/src/ragworthoist/_keeping.py
+++ b/src/ragworthoist/_keeping.py
@@ -13,6 +13,7 @@
 from ragworthoist.core.configuration import Adoption
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import DocumentError, NotReadyError, StoreError
+from ragworthoist.store.dependency import StoreDependency
 
 WATCHER_READ_SECONDS = 10.0
 POLL_SECONDS = 10.0
@@ -57,7 +58,7 @@
         self._prefix = peers_prefix(fleet.name)
         self._seeds = [seed.pair for seed in fleet.seeds]
         self._lease = None
-        self._reachable = True
+        self._dependency = StoreDependency()
 
     async def find_peers(self):
         """Return addresses of some nodes, from settings and the store."""
@@ -67,7 +68,7 @@
                 host, port = json.loads(found.value)
                 addresses.append((host, port))
         except (StoreError, ValueError) as error:
-            self._note_store(error)
+            self._dependency.note(error)
         own = self._node.membership.node.address
         return [address for address in dict.fromkeys(addresses) if address != own]
 
@@ -105,9 +106,9 @@
         try:
             found = await self._store.get(self._key)
         except StoreError as error:
-            self._note_store(error)
+            self._dependency.note(error)
             return False
-        self._note_store(None)
+        self._dependency.note(None)
         if found is None:
             if self._node.configuration.policy is None:
                 self._node.adopt_configuration(b"{}", "defaults")
@@ -134,7 +135,7 @@
     async def _watch_once(self):
         try:
             found = await self._store.get(self._key)
-            self._note_store(None)
+            self._dependency.note(None)
             revision = 0
             if found is not None:
                 await self._take(found)
@@ -142,7 +143,7 @@
             async for value in self._store.watch(self._key, revision + 1):
                 await self._take(value)
         except StoreError as error:
-            self._note_store(error)
+            self._dependency.note(error)
         await anyio.sleep(RETRY_SECONDS)
 
     async def _poll(self):
@@ -197,11 +198,4 @@
                 await self._store.put(key, value, self._lease)
         except StoreError as error:
             self._lease = None
-            self._note_store(error)
-
-    def _note_store(self, error):
-        reachable = error is None
-        if reachable != self._reachable:
-            self._reachable = reachable
-            event = Event.STORE_AVAILABLE if reachable else Event.STORE_UNAVAILABLE
-            log_event(event, error=str(error) if error else "")
+            self._dependency.note(error)
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -19,7 +19,7 @@
 from ragworthoist.core.stalls import StallMeter
 from ragworthoist.edge.dispatching import AttemptDispatcher
 from ragworthoist.edge.entrance import AttemptEntrance
-from ragworthoist.edge.following import ConfigurationFollower, StoreDependency
+from ragworthoist.edge.following import ConfigurationFollower
 from ragworthoist.edge.handover import Handover
 from ragworthoist.edge.joining import Meeting
 from ragworthoist.edge.observing import Observer, dump_edge_state
@@ -30,6 +30,7 @@
 from ragworthoist.net.listener import Listener
 from ragworthoist.platform.configuration import compile_routes
 from ragworthoist.store import open_store
+from ragworthoist.store.dependency import StoreDependency
 
 TICK_SECONDS = 0.02
 CHECK_SECONDS = 0.05
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -2,7 +2,7 @@
 
 import json
 
-from ragworthoist._outcomes import collect_outcomes
+from ragworthoist._metrics import collect_node_metrics
 
 _TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
 _JSON = ((b"content-type", b"application/json"),)
@@ -84,15 +84,10 @@
 
 def collect_edge_metrics(node):
     """Return an aioprometheus registry filled from the node's tables."""
-    from aioprometheus import Counter, Gauge, Registry
+    from aioprometheus import Counter
 
-    registry = Registry()
-    requests = Counter(
-        "ragworthoist_requests_total", "Requests by outcome", registry=registry
-    )
-    latency = Counter(
-        "ragworthoist_completed_below_total", "Completed, by latency", registry=registry
-    )
+    admission = node.handover.admission
+    registry = collect_node_metrics(node, admission, admission.limiter.limit, str)
     store = Counter(
         "ragworthoist_store_calls_total",
         "Calls to the store by kind",
@@ -101,27 +96,7 @@
     opened = Counter(
         "ragworthoist_server_connections_total", "Connections opened", registry=registry
     )
-    limit = Gauge(
-        "ragworthoist_limit", "Calls handed to the server at once", registry=registry
-    )
-    in_flight = Gauge(
-        "ragworthoist_in_flight", "Calls running at the server", registry=registry
-    )
-    waiting = Gauge(
-        "ragworthoist_waiting", "Calls waiting for the server", registry=registry
-    )
-    version = Gauge(
-        "ragworthoist_configuration_version", "Version in force", registry=registry
-    )
-    members = Gauge("ragworthoist_members", "Members by state", registry=registry)
-    collect_outcomes(node.outcomes, str, requests, latency)
     for kind, count in node.store.calls.items():
         store.set({"kind": kind}, count)
     opened.set({}, node.server_client.opened)
-    limit.set({}, node.handover.admission.limiter.limit)
-    in_flight.set({}, node.handover.admission.in_flight)
-    waiting.set({}, len(node.handover.admission))
-    version.set({}, node.configuration.version)
-    for member in node.membership.members.values():
-        members.inc({"state": member.state.name.lower()})
     return registry
--- a/src/ragworthoist/net/exchanges.py
+++ b/src/ragworthoist/net/exchanges.py
@@ -29,13 +29,6 @@
     headers: list
     body: object = b""
 
-    def find_header(self, name):
-        """Return the value of the header `name` (lower case), empty when absent."""
-        for found, value in self.headers:
-            if found == name:
-                return value
-        return b""
-
 
 @dataclass(slots=True)
 class _Message:
@@ -100,7 +93,6 @@
         self._timer = None
         self._writable = None
         self._sender = None
-        self._error = None
         self._paused = False
         self._is_parsing = False
         self._is_done = False
--- a/src/ragworthoist/net/operators.py
+++ b/src/ragworthoist/net/operators.py
@@ -3,10 +3,9 @@
 import hmac
 import json
 
-from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.formats import text
 
-from ragworthoist._outcomes import collect_outcomes
+from ragworthoist._metrics import collect_node_metrics
 from ragworthoist.core.limits import MAX_LIMIT
 from ragworthoist.net.web import find_header, respond
 
@@ -120,36 +119,11 @@
 
 def collect_metrics(node):
     """Return an aioprometheus registry filled from the node's tables."""
-    registry = Registry()
-    requests = Counter(
-        "ragworthoist_requests_total", "Customer requests by outcome", registry=registry
-    )
-    latency = Counter(
-        "ragworthoist_completed_below_total", "Completed, by latency", registry=registry
-    )
-    limit = Gauge(
-        "ragworthoist_limit", "Calls handed to the server at once", registry=registry
-    )
-    in_flight = Gauge(
-        "ragworthoist_in_flight", "Calls running at the server", registry=registry
-    )
-    waiting = Gauge(
-        "ragworthoist_waiting", "Calls waiting for the server", registry=registry
-    )
-    version = Gauge(
-        "ragworthoist_configuration_version", "Version in force", registry=registry
-    )
-    members = Gauge("ragworthoist_members", "Members by state", registry=registry)
-    collect_outcomes(
-        node.outcomes, lambda rank: _rank_name(node, rank), requests, latency
+    admission = node.serving.admission
+    limit = min(admission.limiter.limit, MAX_LIMIT)
+    return collect_node_metrics(
+        node, admission, limit, lambda rank: _rank_name(node, rank)
     )
-    limit.set({}, min(node.serving.admission.limiter.limit, MAX_LIMIT))
-    in_flight.set({}, node.serving.admission.in_flight)
-    waiting.set({}, len(node.serving.admission))
-    version.set({}, node.configuration.version)
-    for member in node.membership.members.values():
-        members.inc({"state": member.state.name.lower()})
-    return registry
 
 
 def _describe_member(member):
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -52,13 +52,6 @@
         self.pipe = None
         self.parts = None
 
-    def find_header(self, name):
-        """Return the value of the header `name` (lower case), empty when absent."""
-        for found, value in self.headers:
-            if found == name:
-                return value
-        return b""
-
     async def respond(self, status, headers=(), body=b"", close=False):
         """Send the answer once those before it are complete.
 
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -12,6 +12,7 @@
 )
 from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
 from ragworthoist.net.client import HttpClient
+from ragworthoist.net.web import find_header
 
 HANG_SECONDS = 60.0
 HEAD = b"GET / HTTP/1.1\r\nhost: a\r\nid: %s\r\n\r\n"
@@ -77,7 +78,7 @@
 
 
 def accepts(request_id):
-    return lambda response: response.find_header(b"id") in (request_id, b"")
+    return lambda response: find_header(response.headers, b"id") in (request_id, b"")
 
 
 async def read_body(response):
