Show the rate that a server advertises and the requests that reach it

Callers saw nothing wrong, and neither a log line nor a metric told how many requests a server gets or that it had asked for fewer. Nothing is decided by the rate yet.

--- a/src/ragworthoist/edge/forwarding.py
+++ b/src/ragworthoist/edge/forwarding.py
@@ -9,6 +9,8 @@
 from functools import partial
 
 from ragworthoist.core.admission import Admission, Entry, EntryState
+from ragworthoist.core.advertised_rate import AdvertisedRate
+from ragworthoist.core.arrivals import ArrivalMeter
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
 from ragworthoist.core.levels import DownstreamLevels
 from ragworthoist.core.occupancy import Occupancy
@@ -95,6 +97,8 @@
         self.downstream = DownstreamLevels()
         self.occupancy = Occupancy()
         self.occupancy.apply_slots(DEFAULT_SLOTS)
+        self.advertised_rate = AdvertisedRate()
+        self.arrivals = ArrivalMeter()
         self.is_leaving = False
         self.in_progress = 0
         self._client = client
@@ -102,6 +106,7 @@
         self._connect_failures = 0
         self._running_calls = {}
         self._usable_slots = DEFAULT_SLOTS
+        self._malformed_rate = None
 
     async def serve(self, call):
         """Process `call`, dispatched by this node itself, and return its `Answer`."""
@@ -266,6 +271,7 @@
             loop.call_soon(self._abandon, pending, reason)
             return
         self._running_calls[call.request_id] = call
+        self.arrivals.record(now)
         pending.exchange = self._client.start_request(
             partial(self._on_exchange_done, pending),
             self._make_head(call, remaining),
@@ -283,12 +289,37 @@
     def _accept_response(self, pending, response):
         metadata = pending.metadata = read_response_metadata(response)
         if metadata.attempt_id:
-            return metadata.attempt_id == pending.call.request_id
+            is_accepted = metadata.attempt_id == pending.call.request_id
+            if is_accepted:
+                self._record_advertised_rate(metadata, pending.entry.started)
+            return is_accepted
         # A response without an attempt id is accepted only if it is an error. A second
         # copy of it could not be told from the response to the next call.
         pending.exchange.prevent_reuse()
         return response.status >= 400
 
+    def _record_advertised_rate(self, metadata, sent_at):
+        if metadata.malformed_rate is not None:
+            if metadata.malformed_rate != self._malformed_rate:
+                self._malformed_rate = metadata.malformed_rate
+                log_event(
+                    Event.SERVER_RATE_REFUSED,
+                    server=self.lifecycle.instance,
+                    value=metadata.malformed_rate,
+                )
+            if metadata.advertised_rate is None:
+                return
+        now = self._clock()
+        previous = self.advertised_rate.rate
+        if self.advertised_rate.record_answer(metadata.advertised_rate, sent_at, now):
+            log_event(
+                Event.SERVER_RATE_CHANGED,
+                server=self.lifecycle.instance,
+                rate=self.advertised_rate.rate,
+                previous=previous,
+                requests_per_second=round(self.arrivals.rate(now), 2),
+            )
+
     def _on_exchange_done(self, pending, response, error):
         try:
             answer = self._make_answer(pending, response, error)
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -59,6 +59,8 @@
             "sequence": node.lifecycle.sequence,
             "slots": node.lifecycle.slots,
             "heard_seconds_ago": round(now - node.lifecycle.last_seen, 3),
+            "advertised_rate": node.forwarder.advertised_rate.rate,
+            "requests_per_second": round(node.forwarder.arrivals.rate(now), 2),
         },
         "admission": {
             "limit": admission.limiter.limit,
@@ -86,9 +88,10 @@
 
 def collect_edge_metrics(node):
     """Return an aioprometheus registry filled from the node's tables."""
-    from aioprometheus import Counter
+    from aioprometheus import Counter, Gauge
 
-    admission = node.forwarder.admission
+    forwarder = node.forwarder
+    admission = forwarder.admission
     registry = collect_node_metrics(node, admission, admission.limiter.limit, str)
     store_calls = Counter(
         "ragworthoist_store_calls_total",
@@ -101,4 +104,24 @@
     for kind, count in node.store.calls.items():
         store_calls.set({"kind": kind}, count)
     connections_opened.set({}, node.server_client.connections_opened)
+    labels = {"server": node.lifecycle.instance}
+    requests = Counter(
+        "ragworthoist_server_requests_total",
+        "Requests sent to the server",
+        registry=registry,
+    )
+    requests.set(labels, forwarder.arrivals.total)
+    arrival_rate = Gauge(
+        "ragworthoist_server_requests_per_second",
+        "Requests sent to the server, over the last 4 s",
+        registry=registry,
+    )
+    arrival_rate.set(labels, forwarder.arrivals.rate(node.clock()))
+    if forwarder.advertised_rate.rate is not None:
+        advertised_rate = Gauge(
+            "ragworthoist_server_advertised_rate",
+            "Requests a second that the server takes, while it advertises a rate",
+            registry=registry,
+        )
+        advertised_rate.set(labels, forwarder.advertised_rate.rate)
     return registry
--- a/src/ragworthoist/platform/headers.py
+++ b/src/ragworthoist/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of attempts and of backend servers' answers."""
 
+import re
 from dataclasses import dataclass
 
 _ATTEMPT_ID = b"attempt-id"
@@ -10,6 +11,8 @@
 _NOT_RUN = b"not-executed"
 _SEAL = b"server-seal"
 _RETRY_AFTER = b"retry-after"
+_ADVERTISED_RATE = b"server-limit"
+_IS_LEAVING = b"server-leaving"
 
 # Hop-by-hop headers, and headers that the node sets itself.
 _NOT_FORWARDED = frozenset(
@@ -31,6 +34,8 @@
     }
 )
 _MAX_TIMEOUT_DIGITS = 9
+_MAX_RATE_LENGTH = 64
+_RATE_PATTERN = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +59,9 @@
     `not_run` is true if the server states that it did not run the request,
     `is_misdirected` if another server runs at the address, `is_sealed` if the answer
     carries the server's proof, `is_encoded` if the body is encoded and therefore not
-    the server's own bytes.
+    the server's own bytes. `advertised_rate` is how many requests a second the server
+    takes, None if it does not say; a value that is no decimal number is kept in
+    `malformed_rate`. `is_leaving` is true if the server states that it is leaving.
     """
 
     attempt_id: bytes
@@ -63,6 +70,9 @@
     is_misdirected: bool
     is_sealed: bool
     is_encoded: bool
+    advertised_rate: float | None = None
+    malformed_rate: str | None = None
+    is_leaving: bool = False
 
 
 def read_attempt(headers, caller):
@@ -113,7 +123,8 @@
 def read_response_metadata(response):
     """Return the `ResponseMetadata` in a `Response`."""
     attempt_id = instance = b""
-    not_run = is_sealed = is_encoded = False
+    not_run = is_sealed = is_encoded = is_leaving = False
+    raw_rates = []
     for name, value in response.headers:
         if name == _ATTEMPT_ID:
             attempt_id = value
@@ -123,8 +134,13 @@
             not_run = True
         elif name == _SEAL:
             is_sealed = bool(value)
+        elif name == _ADVERTISED_RATE:
+            raw_rates.append(value.strip())
+        elif name == _IS_LEAVING:
+            is_leaving = value.strip() == b"1"
         elif name == b"content-encoding":
             is_encoded = True
+    rate, malformed_rate = _parse_rates(raw_rates)
     return ResponseMetadata(
         attempt_id,
         instance.decode("latin1"),
@@ -132,9 +148,24 @@
         response.status == 421,
         is_sealed,
         is_encoded,
+        rate,
+        malformed_rate,
+        is_leaving,
     )
 
 
+def _parse_rates(raw_rates):
+    """Return the lowest decimal number in `raw_rates`, and the first other value."""
+    rate = malformed = None
+    for raw in raw_rates:
+        if len(raw) > _MAX_RATE_LENGTH or not _RATE_PATTERN.fullmatch(raw):
+            if malformed is None:
+                malformed = raw.decode("latin1")[:_MAX_RATE_LENGTH]
+        elif rate is None or float(raw) < rate:
+            rate = float(raw)
+    return rate, malformed
+
+
 def filter_answer_headers(headers):
     """Return the headers of a server's answer that are passed on to the client."""
     return [pair for pair in headers if pair[0] not in _NOT_FORWARDED]
--- a/tests/edge/test_observing.py
+++ b/tests/edge/test_observing.py
@@ -10,6 +10,8 @@
 
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist.core.admission import Admission
+from ragworthoist.core.advertised_rate import AdvertisedRate
+from ragworthoist.core.arrivals import ArrivalMeter
 from ragworthoist.core.entities import Answer, Outcome, Reason
 from ragworthoist.edge.forwarding import _ADMISSION_POLICY
 from ragworthoist.edge.observing import Observer
@@ -28,11 +30,22 @@
     outcomes = OutcomeTable()
     outcomes.record("order", 0, Answer(Outcome.COMPLETED, Reason.ANSWERED, 200), 0.03)
     outcomes.record("order", 0, Answer(Outcome.NOT_RUN, Reason.SHED), 0.001)
+    arrivals = ArrivalMeter()
+    for _ in range(6):
+        arrivals.record(9.0)
+    advertised_rate = AdvertisedRate()
+    advertised_rate.record_answer(12.8, 8.0, 9.0)
     return SimpleNamespace(
+        clock=lambda: 10.0,
+        lifecycle=SimpleNamespace(instance="i-1"),
         outcomes=outcomes,
         store=SimpleNamespace(calls={"get": 2}),
         server_client=SimpleNamespace(connections_opened=3),
-        forwarder=SimpleNamespace(admission=Admission(_ADMISSION_POLICY)),
+        forwarder=SimpleNamespace(
+            admission=Admission(_ADMISSION_POLICY),
+            arrivals=arrivals,
+            advertised_rate=advertised_rate,
+        ),
         configuration=SimpleNamespace(version=7, refusals=2),
         membership=SimpleNamespace(members={}),
         is_ready=True,
@@ -54,6 +67,9 @@
         'ragworthoist_store_calls_total{kind="get"} 2',
         "ragworthoist_server_connections_total 3",
         "ragworthoist_configuration_version 7",
+        'ragworthoist_server_requests_total{server="i-1"} 6',
+        'ragworthoist_server_requests_per_second{server="i-1"} 1.5',
+        'ragworthoist_server_advertised_rate{server="i-1"} 12.8',
         "ragworthoist_configurations_refused_total 2",
     ],
 )
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -16,6 +16,7 @@
     "weightedSplit", "maxAttempts", "healthPath", "maxConnections", "coldLeftMs",
     "statusInfo", "nodeInfo", "beatAddress", "attempt-id", "deadline-ms",
     "expect-instance", "server-seal", "not-executed", "caller-service", "kv-txn",
+    "server-limit", "server-leaving",
     "kv-range", "kv-watch", "kv-lease", "staleOk", "hasMore", "leaseId", "platformCfg",
 )  # fmt: skip
 # Headers of this project may contain such a name: `ragworthoist-deadline-ms`.
--- a/tests/platform/test_platform_headers.py
+++ b/tests/platform/test_platform_headers.py
@@ -61,6 +61,47 @@
             metadata.is_encoded,
         )
 
+    @pytest.mark.parametrize(
+        ("values", "rate", "malformed"),
+        [
+            ([], None, None),
+            ([b"12.8"], 12.8, None),
+            ([b" 3 "], 3.0, None),
+            ([b".5"], 0.5, None),
+            ([b"0"], 0.0, None),
+            ([b"1" * 40], float("1" * 40), None),
+            ([b"0." + b"3" * 40], 1 / 3, None),
+            ([b"9", b"7.5"], 7.5, None),
+            ([b"9", b"x"], 9.0, "x"),
+            ([b""], None, ""),
+            ([b"-1"], None, "-1"),
+            ([b"1e3"], None, "1e3"),
+            ([b"NaN"], None, "NaN"),
+            ([b"inf"], None, "inf"),
+            ([b"."], None, "."),
+            ([b"1,5"], None, "1,5"),
+            ([b"1" * 65], None, "1" * 64),
+        ],
+    )
+    def test_rate_is_a_plain_decimal_number(self, values, rate, malformed):
+        headers = [(b"server-limit", value) for value in values]
+        metadata = read_response_metadata(Response(200, headers))
+        assert metadata.advertised_rate == (rate and pytest.approx(rate))
+        assert metadata.malformed_rate == malformed
+
+    @pytest.mark.parametrize(
+        ("headers", "is_leaving"),
+        [
+            ([], False),
+            ([(b"server-leaving", b"1")], True),
+            ([(b"server-leaving", b" 1 ")], True),
+            ([(b"server-leaving", b"0")], False),
+        ],
+    )
+    def test_leaving_is_read(self, headers, is_leaving):
+        metadata = read_response_metadata(Response(200, headers))
+        assert metadata.is_leaving is is_leaving
+
 
 def test_forwarded_timeout_is_at_least_one_millisecond():
     headers = dict(make_forwarding_headers(0.0001, "i-1"))
