--- a/tests/edge/call_graph.py
+++ b/tests/edge/call_graph.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field, replace
 
 from ragworthoist._outcomes import OutcomeTable
@@ -59,6 +59,7 @@
     `rejected` is the share of arrivals that each server rejects, proven not run, and
     `lost` the share of answers that are lost after the request has run. A request that
     starts while more than `knee` of the slots are in use takes 1.3 times as long.
+    `advertised` has the rate that each server advertises, None for none.
     """
 
     slots: int
@@ -66,6 +67,11 @@
     knee: float = 0.95
     rejected: float = 0.0
     lost: float = 0.0
+    advertised: tuple = ()
+
+    def list_advertised(self):
+        """Return the advertised rate of each server."""
+        return self.advertised or (None,) * len(self.speeds)
 
 
 @dataclass
@@ -73,7 +79,8 @@
     """What became of the requests of clients, by kind and status, and their load.
 
     `arrivals` and `repeats` count what reached the servers of each service, in all and
-    beyond the first arrival of each request.
+    beyond the first arrival of each request. `arrival_times` has the times in seconds
+    for each server, named by its service and its place in `Service.speeds`.
     """
 
     asked: Counter = field(default_factory=Counter)
@@ -81,6 +88,7 @@
     statuses: Counter = field(default_factory=Counter)
     arrivals: Counter = field(default_factory=Counter)
     repeats: Counter = field(default_factory=Counter)
+    arrival_times: dict = field(default_factory=lambda: defaultdict(list))
     seconds_until_refused: list = field(default_factory=list)
 
     def share(self, kind):
@@ -116,10 +124,11 @@
 class _Server:
     """A backend server with `slots`, in place of the HTTP client of its node."""
 
-    def __init__(self, node, service, speed):
+    def __init__(self, node, service, place):
         self._node = node
         self._service = service
-        self._speed = speed
+        self._place = place
+        self._speed = service.speeds[place]
         self._slots = asyncio.Semaphore(service.slots)
         self._random = random.Random(node.instance)
         self._count = 0
@@ -141,6 +150,9 @@
         attempt_id = headers[b"attempt-id"]
         service = kind.service
         graph.result.arrivals[service] += 1
+        graph.result.arrival_times[service, self._place].append(
+            asyncio.get_running_loop().time()
+        )
         # A call of a run that was itself a repeat counts as a repeat too.
         parent_id = attempt_id.rpartition(b".")[0]
         is_repeat = attempt_id in graph.arrived or parent_id in graph.repeated
@@ -149,7 +161,9 @@
             graph.result.repeats[service] += 1
             graph.repeated.add(attempt_id)
         if self._random.random() < self._service.rejected:
-            response = Response(503, [(b"not-executed", b"1")])
+            response = Response(
+                503, [(b"attempt-id", attempt_id), (b"not-executed", b"1")]
+            )
         else:
             try:
                 async with asyncio.timeout(timeout):
@@ -163,6 +177,9 @@
             response = Response(
                 status, [(b"attempt-id", attempt_id), (b"server-seal", b"s")]
             )
+        rate = self._service.list_advertised()[self._place]
+        if rate is not None:
+            response.headers.append((b"server-limit", b"%.1f" % rate))
         accepts(response)
         on_done(response, None)
 
@@ -233,7 +250,7 @@
 
 
 class _Node:
-    def __init__(self, graph, number, service_name, speed):
+    def __init__(self, graph, number, service_name, place):
         self.graph = graph
         self.instance = b"%08d" % number
         self.random = random.Random(number)
@@ -248,7 +265,7 @@
             ServerReport("i", service_name, "here:1", service.slots, False, 1), 0.0
         )
         self.forwarder = Forwarder(
-            self.lifecycle, _Server(self, service, speed), self.clock
+            self.lifecycle, _Server(self, service, place), self.clock
         )
         self.forwarder.apply_slots(service.slots)
         self.placement = Placement(self.member, self.random)
@@ -335,8 +352,8 @@
         loop = asyncio.get_running_loop()
         number = 0
         for name, service in self.services.items():
-            for speed in service.speeds:
-                node = _Node(self, number, name, speed)
+            for place in range(len(service.speeds)):
+                node = _Node(self, number, name, place)
                 self.nodes[node.instance] = node
                 number += 1
         members = [node.member for node in self.nodes.values()]
