Send a server no more requests than the rate that it advertises

Cause: the node read past what a server says of itself in an answer.

The node beside a server is its only sender, so the rate is kept there, by a token bucket in core/advertised_rate.py that holds half a second. Calls wait for a token as for a slot, the most urgent first, and are refused as not run with the reason limit when they would wait too long. core/rate_levels.py tells callers in the levels of answers which share of each kind fits, so that the rest goes to servers with room or is refused at the first hop. It is no failure and no overload: nothing is ejected and the levels of overload do not fall.

What holds for one server process ends with it: processes are counted, and the first report after a query of the id no longer counts as a new one.

Peers with the older frames get the reason shed; the version of frames is the byte after the nonce, which older builds take for a part of it.

--- a/src/ragworthoist/core/admission.py
+++ b/src/ragworthoist/core/admission.py
@@ -11,6 +11,7 @@
 from enum import IntEnum
 
 from ragworthoist._registry import Registry
+from ragworthoist.core.advertised_rate import AdvertisedRate
 from ragworthoist.core.levels import LevelTable
 from ragworthoist.core.limits import Sample, limits
 
@@ -56,6 +57,8 @@
     queue : tuple
         Rank and kind under which the entry waits. A change of policy does not move
         it.
+    is_rate_limited : bool
+        Whether the entry was shed because of the rate that the server advertises.
     """
 
     call: object
@@ -64,6 +67,7 @@
     state: EntryState = EntryState.WAITING
     started: float = 0.0
     queue: tuple = ()
+    is_rate_limited: bool = False
 
 
 @queue_orders.register("first_in")
@@ -167,6 +171,8 @@
     ----------
     policy : ServicePolicy
         How calls to the server beside this node are admitted.
+    rate : AdvertisedRate, optional
+        The rate of the server, kept over all calls.
 
     Attributes
     ----------
@@ -180,8 +186,9 @@
         Smoothed latency of the calls that succeeded, in seconds.
     """
 
-    def __init__(self, policy):
+    def __init__(self, policy, rate=None):
         self.in_flight = 0
+        self.rate = rate or AdvertisedRate()
         self.levels = LevelTable(policy.levels_follow_ranks)
         self.service_time = 0.0
         self._quickest = {}
@@ -225,12 +232,10 @@
         """
         return self.service_time if self.is_busy else self._quickest.get(kind, 0.0)
 
-    def estimate_wait(self, rank):
+    def estimate_wait(self, rank, now):
         """Return the seconds until a call of `rank` that arrives now is forwarded."""
-        if not self.is_busy:
-            return 0.0
-        ahead = sum(queue.length for r, queue in self._ranks.items() if r <= rank)
-        return (ahead + 1) * self.service_time / self.limiter.limit
+        ahead = self._count_ahead(rank)
+        return max(self._estimate_slot_wait(ahead), self.rate.estimate_wait(ahead, now))
 
     def list_waiting(self):
         """Return the waiting entries."""
@@ -247,20 +252,23 @@
         if now + self.estimate_seconds(call.kind) >= call.deadline:
             if call.kind in self._quickest:
                 self._quickest[call.kind] *= QUICKEST_DECAY
-            if self.is_busy:
+            if self.is_busy and not self._is_held_by_rate():
                 self.levels.record(call.kind, call.rank, True)
             self._refuse(entry)
             return
-        if self.in_flight < self.limiter.limit and not self._length:
+        if not self._length and self._has_room(now):
             self.levels.record(call.kind, call.rank, False)
             self._start(entry, now)
             return
-        is_too_long = self._is_wait_too_long(call)
+        ahead = self._count_ahead(call.rank)
+        longest = self._longest_wait(call)
+        exceeds_rate = self.rate.estimate_wait(ahead, now) > longest
+        is_too_long = exceeds_rate or self._estimate_slot_wait(ahead) > longest
         self._enqueue(entry)
         if is_too_long:
-            self._displace(entry, self._ranks[entry.queue[0]])
+            self._displace(entry, self._ranks[entry.queue[0]], exceeds_rate)
         elif self._length > self.capacity:
-            self._displace(entry, self._least_urgent_queue())
+            self._displace(entry, self._least_urgent_queue(), self._is_held_by_rate())
         else:
             self.levels.record(call.kind, call.rank, False)
 
@@ -305,10 +313,10 @@
 
     def start_waiting(self, now):
         """Forward waiting calls while the limit allows."""
-        while self._length and self.in_flight < self.limiter.limit:
+        while self._length and self._has_room(now):
             entry = self._dequeue(now)
             if now + self.service_time >= entry.call.deadline:
-                self._shed_entry(entry)
+                self._shed_entry(entry, self._is_held_by_rate())
             else:
                 self._start(entry, now)
 
@@ -325,11 +333,19 @@
         late = [entry for entry in kind.entries if entry.call.deadline <= latest]
         for entry in late:
             self._remove(entry)
-            self._shed_entry(entry)
+            self._shed_entry(entry, self._is_held_by_rate())
+
+    def _has_room(self, now):
+        return self.in_flight < self.limiter.limit and self.rate.allows(now)
+
+    def _is_held_by_rate(self):
+        """Return whether calls wait for the rate of the server rather than a slot."""
+        return self.rate.rate is not None and self.in_flight < self.limiter.limit
 
     def _start(self, entry, now):
         entry.state = EntryState.RUNNING
         entry.started = now
+        self.rate.record_request(now)
         self.in_flight += 1
         entry.notify(entry)
 
@@ -337,8 +353,10 @@
         entry.state = EntryState.SHED
         entry.notify(entry)
 
-    def _shed_entry(self, entry):
-        self.levels.record_late_shed(entry.call.kind)
+    def _shed_entry(self, entry, is_rate_limited):
+        entry.is_rate_limited = is_rate_limited
+        if not is_rate_limited:
+            self.levels.record_late_shed(entry.call.kind)
         entry.state = EntryState.SHED
         entry.notify(entry)
 
@@ -365,21 +383,31 @@
     def _least_urgent_queue(self):
         return self._ranks[max(i for i, rank in self._ranks.items() if rank.length)]
 
-    def _is_wait_too_long(self, call):
+    def _count_ahead(self, rank):
+        return sum(queue.length for r, queue in self._ranks.items() if r <= rank)
+
+    def _estimate_slot_wait(self, ahead):
+        if not self.is_busy:
+            return 0.0
+        return (ahead + 1) * self.service_time / self.limiter.limit
+
+    def _longest_wait(self, call):
         share = self.policy.max_wait_share
-        return share and self.estimate_wait(call.rank) > share * call.latency_target
+        return share * call.latency_target if share else float("inf")
 
-    def _displace(self, arrival, rank):
+    def _displace(self, arrival, rank, is_rate_limited):
         """Shed one call of `rank`, which may be `arrival` itself."""
         kind = rank.longest_kind()
         victim = self._choose_to_shed(kind.entries)
         self._remove(victim)
         if victim is arrival:
-            self.levels.record(arrival.call.kind, arrival.call.rank, True)
+            arrival.is_rate_limited = is_rate_limited
+            if not is_rate_limited:
+                self.levels.record(arrival.call.kind, arrival.call.rank, True)
             self._refuse(arrival)
             return
         self.levels.record(arrival.call.kind, arrival.call.rank, False)
-        self._shed_entry(victim)
+        self._shed_entry(victim, is_rate_limited)
 
     def _dequeue(self, now):
         urgent = min(index for index, rank in self._ranks.items() if rank.length)
--- a/src/ragworthoist/core/entities.py
+++ b/src/ragworthoist/core/entities.py
@@ -36,6 +36,7 @@
     SERVER_GARBLED = "server-garbled"
     SERVER_UNVERIFIED = "server-unverified"
     SHED = "shed"
+    LIMIT = "limit"
     LEVEL = "level"
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
--- a/src/ragworthoist/core/server_lifecycle.py
+++ b/src/ragworthoist/core/server_lifecycle.py
@@ -73,6 +73,12 @@
     drain_seconds : float
         Time in seconds for which requests may still arrive after the node has
         acknowledged that the server is leaving.
+
+    Attributes
+    ----------
+    process_number : int
+        Number of server processes seen so far. What a server said of itself holds for
+        one of them only.
     """
 
     def __init__(self, service, address, drain_seconds):
@@ -81,6 +87,7 @@
         self.drain_seconds = drain_seconds
         self.state = ServerState.UNKNOWN
         self.instance = ""
+        self.process_number = 0
         self.slots = 0
         self.server_start_ms = 0
         self.sequence = -1
@@ -95,11 +102,13 @@
             return ReportVerdict.FOREIGN
         if not self._is_newer(report):
             return ReportVerdict.STALE
-        if (
-            report.instance != self.instance
-            or report.server_start_ms > self.server_start_ms
+        if report.instance != self.instance or (
+            0 < self.server_start_ms < report.server_start_ms
         ):
             self._begin_server_process(report.instance, report.server_start_ms)
+        elif not self.server_start_ms:
+            # The process had been identified by `verify` only.
+            self.server_start_ms = report.server_start_ms
         self.sequence = report.sequence
         self.slots = report.slots
         self.last_seen = now
@@ -114,6 +123,8 @@
         """Record that the server has identified itself as `instance` and is ready."""
         if self.state is not ServerState.UNKNOWN or instance in self._ended_instances:
             return
+        if instance != self.instance:
+            self.process_number += 1
         self.instance = instance
         self.last_seen = now
         self.state = ServerState.READY
@@ -178,6 +189,7 @@
             self._ended_instances.add(self.instance)
         self._ended_instances.discard(instance)
         self.instance = instance
+        self.process_number += 1
         self.server_start_ms = server_start_ms
         self.sequence = -1
         self.state = ServerState.UNKNOWN
--- a/src/ragworthoist/edge/dispatching.py
+++ b/src/ragworthoist/edge/dispatching.py
@@ -15,6 +15,7 @@
 _NOT_FORWARDED_REASONS = frozenset(
     {
         Reason.SHED,
+        Reason.LIMIT,
         Reason.LEAVING,
         Reason.SERVER_UNVERIFIED,
         Reason.SERVER_UNREACHABLE,
@@ -76,7 +77,10 @@
             if now >= call.deadline:
                 answer = answer or refuse(Reason.DEADLINE, call)
                 break
-            endpoint, reason = self._choose_endpoint(call, parent, excluded, now)
+            must_accept = parent is None or retries >= MAX_RETRIES_AFTER_REFUSAL
+            endpoint, reason = self._choose_endpoint(
+                call, parent, excluded, must_accept, now
+            )
             if endpoint is None:
                 answer = answer or refuse(reason, call)
                 break
@@ -97,8 +101,11 @@
             answer = Answer(Outcome.UNKNOWN, answer.reason, endpoint=answer.endpoint)
         return answer
 
-    def _choose_endpoint(self, call, parent, excluded, now):
-        """Return (endpoint, None), or (None, reason) if no endpoint accepts `call`."""
+    def _choose_endpoint(self, call, parent, excluded, must_accept, now):
+        """Return (endpoint, None), or (None, reason) if no endpoint accepts `call`.
+
+        Unless `must_accept`, `call` is offered even if its draw is above all levels.
+        """
         node = self._node
         membership = node.membership
         candidates = node.placement.candidates(
@@ -108,10 +115,10 @@
             return None, Reason.NO_ENDPOINT
         if self._endpoint_levels:
             accepting = self._filter_by_level(call, parent, candidates, now)
-            if not accepting and parent is None:
+            if not accepting and must_accept:
                 return None, Reason.LEVEL
             # Work has already been done for the request of a server's call, so it is
-            # offered in any case.
+            # offered to some endpoints in any case.
             candidates = accepting or candidates
         chosen = node.placement.choose(candidates, call.kind, call.latency_target, now)
         return chosen, None
@@ -181,7 +188,7 @@
             node.placement.record_answer(
                 endpoint.instance, call.kind, 0.0, answer.load, True, now
             )
-        elif answer.reason is Reason.SHED:
+        elif answer.reason in (Reason.SHED, Reason.LIMIT):
             node.placement.record_load(endpoint.instance, answer.load, now)
 
     def _may_retry(self, call, answer, retries):
@@ -199,7 +206,9 @@
             answer.outcome is Outcome.NOT_RUN
             and answer.reason in _NOT_FORWARDED_REASONS
         ):
-            return retries < MAX_RETRIES_AFTER_REFUSAL
+            # An endpoint that keeps to its server's rate says nothing about the others,
+            # and those that have no room either are left out by their levels.
+            return answer.reason is Reason.LIMIT or retries < MAX_RETRIES_AFTER_REFUSAL
         if answer.reason is Reason.DEADLINE or call.retry_allowance <= 0:
             return False
         fleet_size = len(node.membership.peers()) + 1
--- a/src/ragworthoist/edge/forwarding.py
+++ b/src/ragworthoist/edge/forwarding.py
@@ -15,7 +15,9 @@
 from ragworthoist.core.levels import DownstreamLevels
 from ragworthoist.core.occupancy import Occupancy
 from ragworthoist.core.policy import ServicePolicy
+from ragworthoist.core.rate_levels import RateLevels
 from ragworthoist.core.server_lifecycle import ServerState
+from ragworthoist.edge.server_notices import ServerNotices
 from ragworthoist.events import Event, is_logged, log_event, write_event
 from ragworthoist.exceptions import (
     ConnectFailedError,
@@ -68,7 +70,7 @@
     `reply` is called with the `Answer`. `entry` is the call's `Entry` in admission,
     `exchange` its HTTP exchange with the server, and `metadata` the
     `ResponseMetadata` of the server's response. Each of the three is None until it
-    exists.
+    exists. `process_number` tells to which server process the call was forwarded.
     """
 
     call: object
@@ -76,6 +78,7 @@
     entry: object = None
     exchange: object = None
     metadata: object = None
+    process_number: int = 0
 
 
 class Forwarder:
@@ -93,12 +96,14 @@
 
     def __init__(self, lifecycle, client, clock):
         self.lifecycle = lifecycle
-        self.admission = Admission(_ADMISSION_POLICY)
+        self.advertised_rate = AdvertisedRate()
+        self.admission = Admission(_ADMISSION_POLICY, self.advertised_rate)
+        self.rate_levels = RateLevels()
         self.downstream = DownstreamLevels()
         self.occupancy = Occupancy()
         self.occupancy.apply_slots(DEFAULT_SLOTS)
-        self.advertised_rate = AdvertisedRate()
         self.arrivals = ArrivalMeter()
+        self.notices = ServerNotices(lifecycle, self.advertised_rate, self.arrivals)
         self.is_leaving = False
         self.in_progress = 0
         self._client = client
@@ -106,7 +111,6 @@
         self._connect_failures = 0
         self._running_calls = {}
         self._usable_slots = DEFAULT_SLOTS
-        self._malformed_rate = None
 
     async def serve(self, call):
         """Process `call`, dispatched by this node itself, and return its `Answer`."""
@@ -144,6 +148,7 @@
         if reason is not None:
             self._refuse(call, reply, reason)
             return None
+        self.rate_levels.record(call)
         pending = PendingCall(call, reply)
         self.in_progress += 1
         pending.entry = Entry(
@@ -201,10 +206,13 @@
     def _fold_levels(self):
         """Return the levels to send with answers, as (kind, level) pairs."""
         lowered = self.admission.levels.lowered()
+        for kind, level in self.rate_levels.lowered().items():
+            lowered[kind] = min(level, lowered.get(kind, level))
         return list(self.downstream.fold(lowered, self._clock()).items())
 
     def tick(self, now):
         """Refuse waiting calls that can no longer be forwarded or served in time."""
+        self.notices.sync_process()
         self._update_limit(now)
         if not self.lifecycle.admits(now):
             self._refuse_waiting(now)
@@ -212,6 +220,7 @@
             # Without calls the service time is not measured. It decays, so that an
             # earlier slow period does not keep calls from being admitted.
             self.admission.service_time *= SERVICE_TIME_DECAY_PER_TICK
+        self.rate_levels.tick(now, self.advertised_rate.rate)
         self.admission.tick(now)
 
     def _find_refusal_reason(self, now):
@@ -237,6 +246,8 @@
             limit=self.admission.limiter.limit,
             left_ms=round((call.deadline - self._clock()) * 1000, 1),
             expected_ms=round(self.admission.estimate_seconds(call.kind) * 1000, 1),
+            rate=self.advertised_rate.rate,
+            requests_per_second=round(self.arrivals.rate(self._clock()), 2),
         )
         reply(answer)
 
@@ -250,10 +261,11 @@
             self._forward(pending)
             return
         self.in_progress -= 1
-        is_late = pending.call.deadline <= self._clock()
-        self._refuse(
-            pending.call, pending.reply, Reason.DEADLINE if is_late else Reason.SHED
-        )
+        if pending.call.deadline <= self._clock():
+            reason = Reason.DEADLINE
+        else:
+            reason = Reason.LIMIT if pending.entry.is_rate_limited else Reason.SHED
+        self._refuse(pending.call, pending.reply, reason)
 
     def _forward(self, pending):
         call = pending.call
@@ -272,6 +284,7 @@
             return
         self._running_calls[call.request_id] = call
         self.arrivals.record(now)
+        pending.process_number = self.lifecycle.process_number
         pending.exchange = self._client.start_request(
             partial(self._on_exchange_done, pending),
             self._make_head(call, remaining),
@@ -291,35 +304,18 @@
         if metadata.attempt_id:
             is_accepted = metadata.attempt_id == pending.call.request_id
             if is_accepted:
-                self._record_advertised_rate(metadata, pending.entry.started)
+                self.notices.record_response(
+                    metadata,
+                    pending.process_number,
+                    pending.entry.started,
+                    self._clock(),
+                )
             return is_accepted
         # A response without an attempt id is accepted only if it is an error. A second
         # copy of it could not be told from the response to the next call.
         pending.exchange.prevent_reuse()
         return response.status >= 400
 
-    def _record_advertised_rate(self, metadata, sent_at):
-        if metadata.malformed_rate is not None:
-            if metadata.malformed_rate != self._malformed_rate:
-                self._malformed_rate = metadata.malformed_rate
-                log_event(
-                    Event.SERVER_RATE_REFUSED,
-                    server=self.lifecycle.instance,
-                    value=metadata.malformed_rate,
-                )
-            if metadata.advertised_rate is None:
-                return
-        now = self._clock()
-        previous = self.advertised_rate.rate
-        if self.advertised_rate.record_answer(metadata.advertised_rate, sent_at, now):
-            log_event(
-                Event.SERVER_RATE_CHANGED,
-                server=self.lifecycle.instance,
-                rate=self.advertised_rate.rate,
-                previous=previous,
-                requests_per_second=round(self.arrivals.rate(now), 2),
-            )
-
     def _on_exchange_done(self, pending, response, error):
         try:
             answer = self._make_answer(pending, response, error)
--- a/src/ragworthoist/net/frames.py
+++ b/src/ragworthoist/net/frames.py
@@ -16,6 +16,9 @@
 from ragworthoist.exceptions import AuthenticationError, FrameError
 
 PROTOCOL_VERSION = 1
+# Version of the frames that this build understands. A stream uses the lower one of its
+# two sides, see `Handshake.frame_version`.
+FRAME_VERSION = 2
 CHUNK_BYTES = 32_768
 # Bytes of one body that can be sent before the receiver grants credit.
 WINDOW_BYTES = 8 * CHUNK_BYTES
@@ -31,6 +34,8 @@
 # Used for each answer: a dict lookup takes a tenth of the time of an enum call.
 _OUTCOMES = {outcome.value: outcome for outcome in Outcome}
 _REASONS = {reason.value: reason for reason in Reason}
+# Reasons that builds with frames of version 1 do not know, and what they get instead.
+_REASONS_IN_VERSION_1 = {Reason.LIMIT: Reason.SHED}
 
 
 class FrameKind(IntEnum):
@@ -144,14 +149,17 @@
     return call, length, inline is not None
 
 
-def pack_answer(call_id, answer):
-    """Return the frame of `answer`."""
+def pack_answer(call_id, answer, frame_version=FRAME_VERSION):
+    """Return the frame of `answer` for a peer that uses `frame_version`."""
     length, inline = _split_body(answer.body)
+    reason = answer.reason
+    if frame_version < 2:
+        reason = _REASONS_IN_VERSION_1.get(reason, reason)
     return [
         int(FrameKind.ANSWER),
         call_id,
         int(answer.outcome),
-        answer.reason.value,
+        reason.value,
         answer.status,
         answer.headers,
         answer.unused_retries,
--- a/src/ragworthoist/net/handshake.py
+++ b/src/ragworthoist/net/handshake.py
@@ -4,6 +4,7 @@
 
 from ragworthoist.exceptions import AuthenticationError, FrameError
 from ragworthoist.net.frames import (
+    FRAME_VERSION,
     NONCE_BYTES,
     PROTOCOL_VERSION,
     FrameKind,
@@ -20,14 +21,24 @@
         The node. It provides `instance` and `key`.
     is_initiator : bool
         Whether this side opened the connection.
+
+    Attributes
+    ----------
+    peer : bytes
+        Instance id of the peer, empty before its first frame.
+    frame_version : int
+        Version of frames that both sides understand.
     """
 
     def __init__(self, node, is_initiator):
         self._node = node
         self._is_initiator = is_initiator
-        self._nonce = os.urandom(NONCE_BYTES)
+        # Builds that know frames of version 1 only take the last byte for a part of
+        # the nonce.
+        self._nonce = os.urandom(NONCE_BYTES) + bytes([FRAME_VERSION])
         self._expected_proof = None
         self.peer = b""
+        self.frame_version = 1
 
     @property
     def hello(self):
@@ -60,6 +71,10 @@
         if not valid or not isinstance(frame[2], bytes):
             raise FrameError("hello", frame[:2])
         self.peer, peer_nonce = frame[2:]
+        if not isinstance(peer_nonce, bytes):
+            raise FrameError("nonce", type(peer_nonce).__name__)
+        peer_version = peer_nonce[NONCE_BYTES] if len(peer_nonce) > NONCE_BYTES else 1
+        self.frame_version = min(FRAME_VERSION, max(1, peer_version))
         # Roles in the digests: "o" opened the connection, "a" accepted it.
         own_role, peer_role = (b"o", b"a") if self._is_initiator else (b"a", b"o")
         key = self._node.key
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -353,7 +353,7 @@
     def _reply(self, call_id, answer):
         if self.is_closed or call_id not in self._inbound:
             return
-        self._send(pack_answer(call_id, answer))
+        self._send(pack_answer(call_id, answer, self._handshake.frame_version))
         if is_inline(answer.body):
             del self._inbound[call_id]
         else:
--- a/tests/core/test_server_lifecycle.py
+++ b/tests/core/test_server_lifecycle.py
@@ -93,6 +93,27 @@
         lifecycle.process_report(report(sequence=2), 1.5)
         assert not lifecycle.is_ready
 
+    @pytest.mark.parametrize(
+        ("first", "second", "processes"),
+        [
+            (report(start_ms=5), report(sequence=2, start_ms=5), 1),
+            (report(start_ms=5), report(start_ms=6), 2),
+            (report(start_ms=5), report("i-2", start_ms=6), 2),
+            (report(), report(sequence=2, start_ms=5), 1),
+        ],
+    )
+    def test_server_processes_are_counted(self, first, second, processes):
+        lifecycle = make_lifecycle()
+        lifecycle.process_report(first, 0.0)
+        lifecycle.process_report(second, 1.0)
+        assert lifecycle.process_number == processes
+
+    def test_first_report_after_a_query_of_the_id_is_of_the_same_process(self):
+        lifecycle = make_lifecycle()
+        lifecycle.verify("i-1", 0.0)
+        lifecycle.process_report(report(start_ms=5), 1.0)
+        assert (lifecycle.process_number, lifecycle.server_start_ms) == (1, 5)
+
     def test_deregistered_server_is_not_verified_again(self):
         lifecycle = make_lifecycle()
         lifecycle.deregister("i-1", 0.0)
--- a/tests/edge/test_attempts.py
+++ b/tests/edge/test_attempts.py
@@ -205,3 +205,18 @@
     answer = dispatch(node, make_call(True))
     assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, Reason.DEADLINE)
     assert node.peers.called == []
+
+
+def test_call_beyond_the_rates_of_many_endpoints_goes_on_to_one_with_room():
+    limited = [Answer(Outcome.NOT_RUN, Reason.LIMIT) for _ in range(3)]
+    node = FakeNode([*limited, ok()])
+    assert dispatch(node, make_call(False)).outcome is Outcome.COMPLETED
+    assert len(node.peers.called) == 4
+
+
+@pytest.mark.parametrize("reason", [Reason.LIMIT, Reason.SHED])
+def test_refusals_of_endpoints_end_if_all_others_say_that_they_have_no_room(reason):
+    node = FakeNode([Answer(Outcome.NOT_RUN, reason, levels=[("order", 1)])] * 9, 9)
+    answer = dispatch(node, make_call(True))
+    assert answer.outcome is Outcome.NOT_RUN
+    assert len(node.peers.called) <= 4
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/test_forwarding.py
@@ -234,3 +234,89 @@
         return [call is not None for call in found], forwarder.find_parent(b"a1.b")
 
     assert asyncio.run(run()) == ([True, False, False, False], None)
+
+
+RATE = (b"server-limit", b"2")
+
+
+@pytest.mark.parametrize(
+    ("response", "rate"),
+    [
+        (Response(200, [*SEALED, RATE]), 2.0),
+        (Response(500, [*SEALED, RATE]), 2.0),
+        (Response(503, [(b"attempt-id", ATTEMPT), (b"not-executed", b"1"), RATE]), 2.0),
+        # Without a matching id it may be a late copy of an answer to another request.
+        (Response(503, [(b"not-executed", b"1"), RATE]), None),
+        (Response(200, [(b"attempt-id", b"other"), RATE]), None),
+        (Response(200, [*SEALED, (b"server-limit", b"NaN")]), None),
+    ],
+)
+def test_rate_is_read_from_answers_to_the_call_itself(response, rate):
+    async def run():
+        clock = Clock()
+        forwarder = make_forwarder(FakeClient(response), clock)
+        await forwarder.serve(make_call())
+        assert forwarder.advertised_rate.rate == rate
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("response", "rate"),
+    [
+        (Response(200, [*SEALED]), None),
+        (Response(500, [*SEALED]), None),
+        (Response(200, [*SEALED, (b"server-limit", b"")]), 2.0),
+        (Response(503, [(b"attempt-id", ATTEMPT), (b"not-executed", b"1")]), 2.0),
+        (ConnectionLostError("a"), 2.0),
+    ],
+)
+def test_only_a_sealed_answer_without_a_rate_ends_it(response, rate):
+    async def run():
+        clock = Clock()
+        client = FakeClient(Response(200, [*SEALED, RATE]))
+        forwarder = make_forwarder(client, clock)
+        await forwarder.serve(make_call())
+        clock.now += 1.0
+        client.result = response
+        await forwarder.serve(make_call())
+        assert forwarder.advertised_rate.rate == rate
+
+    asyncio.run(run())
+
+
+def test_late_answer_of_an_earlier_server_process_sets_no_rate():
+    async def run():
+        clock = Clock()
+        client = FakeClient(Response(200, [*SEALED, RATE]))
+        forwarder = make_forwarder(client, clock)
+        await forwarder.serve(make_call())
+        assert forwarder.advertised_rate.rate == 2.0
+        clock.now += 1.0
+        client.waits = True
+        late = asyncio.create_task(forwarder.serve(make_call()))
+        await asyncio.sleep(0)
+        forwarder.lifecycle.process_report(make_report(instance="i-2"), clock.now)
+        forwarder.tick(clock.now)
+        assert forwarder.advertised_rate.rate is None
+        client.release.set()
+        await late
+        assert len(client.heads) == 2
+        assert forwarder.advertised_rate.rate is None
+
+    asyncio.run(run())
+
+
+def test_call_beyond_the_rate_is_refused_as_not_run_with_reason_limit():
+    async def run():
+        clock = Clock()
+        client = FakeClient(Response(200, [*SEALED, RATE]))
+        forwarder = make_forwarder(client, clock)
+        await forwarder.serve(make_call())
+        answer = await forwarder.serve(make_call(latency_target=0.2))
+        assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, Reason.LIMIT)
+        assert len(client.heads) == 1
+        # The server is not overloaded, so none of its kinds is shed.
+        assert forwarder.admission.levels.lowered() == {}
+
+    asyncio.run(run())
