Send a server no late calls after it says in an answer that it is leaving

A server that says in its answers that it is leaving, but goes on reporting that it is ready, got calls for as long as it stayed: in the test, 1.9 s after the first such answer with a drain time of 2 s. A node that was started beside a server in its drain time believed a delayed report that the server is ready.

What a server says of itself was read from its reports only, not from its answers.

An answer of the present server process with the mark is now an input of core/server_lifecycle.py beside the report and the deregistration: one state, one drain time, which a repetition does not extend. An answer whose id does not match, or of an earlier process, changes nothing. The query of the id, with which a node starts, is read in the same way.

--- a/src/ragworthoist/core/server_lifecycle.py
+++ b/src/ragworthoist/core/server_lifecycle.py
@@ -129,6 +129,15 @@
         self.last_seen = now
         self.state = ServerState.READY
 
+    def verify_leaving(self, instance, now):
+        """Record that the server has identified itself as `instance` and is leaving."""
+        if self.instance not in ("", instance) or instance in self._ended_instances:
+            return
+        if not self.instance:
+            self.process_number += 1
+            self.instance = instance
+        self.record_leaving(now, admits_calls=False)
+
     def deregister(self, instance, now):
         """Process a deregistration; return whether `instance` is the present server."""
         self._ended_instances.add(instance)
@@ -137,6 +146,21 @@
         self._leave(now)
         return True
 
+    def record_leaving(self, now, admits_calls=True):
+        """Record that the present server process has said that it is leaving.
+
+        Unless `admits_calls`, the drain time has already begun elsewhere, and no more
+        calls are admitted.
+        """
+        self._leave(now)
+        if not admits_calls:
+            self.admit_until = min(self.admit_until, now)
+
+    @property
+    def is_leaving(self):
+        """Whether the present server process is leaving or has left."""
+        return self.state in (ServerState.LEAVING, ServerState.GONE)
+
     def mark_unverified(self, now):
         """Record that another server, or none, answers at the address."""
         if self.state is ServerState.READY:
@@ -196,7 +220,7 @@
         self.admit_until = float("inf")
 
     def _leave(self, now):
-        if self.state in (ServerState.LEAVING, ServerState.GONE):
+        if self.is_leaving:
             return
         self.state = ServerState.LEAVING
         self.admit_until = now + ADMIT_SHARE_OF_DRAIN * self.drain_seconds
--- a/src/ragworthoist/edge/reporting.py
+++ b/src/ragworthoist/edge/reporting.py
@@ -90,6 +90,7 @@
         head = f"GET {service.health_path} HTTP/1.1\r\nhost: {host}\r\n\r\n"
         try:
             with anyio.fail_after(VERIFY_TIMEOUT_SECONDS):
+                sent_at = node.clock()
                 response = await node.server_client.send(head.encode())
         except (TimeoutError, ExchangeError) as error:
             log_event(
@@ -100,8 +101,23 @@
             return False
         if not isinstance(response.body, bytes):
             response.body.discard()
-        instance = read_response_metadata(response).instance
-        if response.status == 200 and instance:
-            node.lifecycle.verify(instance, node.clock())
+        metadata = read_response_metadata(response)
+        if metadata.instance:
+            self._apply_identity(metadata, response.status == 200, sent_at)
         # Any response ends the queries: a leaving or failing server sends reports.
         return True
+
+    def _apply_identity(self, metadata, is_healthy, sent_at):
+        """Apply the answer of a server that has named its id."""
+        node = self._node
+        now = node.clock()
+        lifecycle = node.lifecycle
+        if is_healthy and not metadata.is_leaving:
+            lifecycle.verify(metadata.instance, now)
+        elif metadata.is_leaving:
+            # A report that the server is ready may be older than this answer.
+            lifecycle.verify_leaving(metadata.instance, now)
+        if metadata.instance == lifecycle.instance:
+            node.forwarder.notices.record_response(
+                metadata, lifecycle.process_number, sent_at, now
+            )
--- a/src/ragworthoist/edge/server_notices.py
+++ b/src/ragworthoist/edge/server_notices.py
@@ -9,7 +9,7 @@
     Parameters
     ----------
     lifecycle : ServerLifecycle
-        Tells which server process is the present one.
+        Tells which server process is the present one, and is told when it leaves.
     rate : AdvertisedRate
         Gets the rate that the server advertises.
     arrivals : ArrivalMeter
@@ -41,6 +41,8 @@
         self.sync_process()
         if process_number != self._process_number:
             return
+        if metadata.is_leaving:
+            self._lifecycle.record_leaving(now)
         if metadata.malformed_rate not in (None, self._malformed_rate):
             self._malformed_rate = metadata.malformed_rate
             log_event(
--- a/tests/core/test_server_lifecycle.py
+++ b/tests/core/test_server_lifecycle.py
@@ -93,6 +93,44 @@
         lifecycle.process_report(report(sequence=2), 1.5)
         assert not lifecycle.is_ready
 
+    @pytest.mark.parametrize(
+        ("admits_calls", "end"),
+        [(True, 10.0 + ADMIT_SHARE_OF_DRAIN * DRAIN_SECONDS), (False, 10.0)],
+    )
+    def test_server_that_has_said_that_it_leaves_is_not_ready_again(
+        self, admits_calls, end
+    ):
+        lifecycle = make_lifecycle()
+        lifecycle.process_report(report(sequence=1), 0.0)
+        lifecycle.record_leaving(10.0, admits_calls)
+        lifecycle.process_report(report(sequence=2), 10.0)
+        # A repetition does not extend the time.
+        lifecycle.record_leaving(end - 0.1)
+        assert lifecycle.is_leaving
+        assert not lifecycle.admits(end)
+        lifecycle.process_report(report("i-2"), end)
+        assert lifecycle.admits(end)
+
+    @pytest.mark.parametrize(
+        ("reports", "instance", "is_leaving"),
+        [
+            ([], "i-1", True),
+            ([report()], "i-1", True),
+            # Another server has taken the address since the query.
+            ([report("i-2")], "i-1", False),
+            ([report(), report("i-2")], "i-1", False),
+        ],
+    )
+    def test_server_that_identifies_itself_as_leaving_gets_no_calls(
+        self, reports, instance, is_leaving
+    ):
+        lifecycle = make_lifecycle()
+        for sent in reports:
+            lifecycle.process_report(sent, 0.0)
+        lifecycle.verify_leaving(instance, 1.0)
+        assert lifecycle.is_leaving is is_leaving
+        assert lifecycle.admits(1.0) is not is_leaving
+
     @pytest.mark.parametrize(
         ("first", "second", "processes"),
         [
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/test_forwarding.py
@@ -320,3 +320,77 @@
         assert forwarder.admission.levels.lowered() == {}
 
     asyncio.run(run())
+
+
+LEAVING = (b"server-leaving", b"1")
+
+
+@pytest.mark.parametrize(
+    ("response", "is_leaving"),
+    [
+        (Response(200, [*SEALED, LEAVING]), True),
+        (Response(500, [*SEALED, LEAVING]), True),
+        (
+            Response(503, [(b"attempt-id", ATTEMPT), (b"not-executed", b"1"), LEAVING]),
+            True,
+        ),
+        (Response(200, [*SEALED, (b"server-leaving", b"0")]), False),
+        # Without a matching id it may be a late copy of an answer to another request.
+        (Response(503, [(b"not-executed", b"1"), LEAVING]), False),
+        (Response(200, [(b"attempt-id", b"other"), LEAVING]), False),
+    ],
+)
+def test_server_that_says_in_an_answer_that_it_leaves_gets_calls_after_the_drain_time(
+    response, is_leaving
+):
+    async def run():
+        clock = Clock()
+        client = FakeClient(response)
+        forwarder = make_forwarder(client, clock)
+        await forwarder.serve(make_call())
+        # It may go on reporting that it is ready.
+        forwarder.lifecycle.process_report(make_report(sequence=2), clock.now)
+        client.result = Response(200, [*SEALED])
+        clock.now += 1.9
+        forwarder.lifecycle.process_report(make_report(sequence=3), clock.now)
+        answer = await forwarder.serve(make_call())
+        if is_leaving:
+            assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, Reason.LEAVING)
+        else:
+            assert answer.outcome is Outcome.COMPLETED
+
+    asyncio.run(run())
+
+
+def test_call_waiting_when_the_server_says_that_it_leaves_is_not_forwarded_late():
+    async def run():
+        clock = Clock()
+        client = FakeClient(Response(200, [*SEALED, LEAVING]), waits=True)
+        forwarder = make_forwarder(client, clock)
+        forwarder.apply_slots(2)
+        tasks = [asyncio.create_task(forwarder.serve(make_call())) for _ in range(3)]
+        await asyncio.sleep(0)
+        assert len(client.heads) == 1
+        forwarder.lifecycle.record_leaving(clock.now)
+        clock.now += 1.9
+        client.release.set()
+        answers = await asyncio.gather(*tasks)
+        assert len(client.heads) == 1
+        assert [answer.outcome.label for answer in answers[1:]] == ["not-run"] * 2
+
+    asyncio.run(run())
+
+
+def test_late_answer_of_an_earlier_server_process_does_not_make_its_successor_leave():
+    async def run():
+        clock = Clock()
+        client = FakeClient(Response(200, [*SEALED, LEAVING]), waits=True)
+        forwarder = make_forwarder(client, clock)
+        late = asyncio.create_task(forwarder.serve(make_call()))
+        await asyncio.sleep(0)
+        forwarder.lifecycle.process_report(make_report(instance="i-2"), clock.now)
+        client.release.set()
+        await late
+        assert forwarder.lifecycle.is_ready
+
+    asyncio.run(run())
