Tell a restarted node what its server has said of itself

Callers saw nothing. A server that takes 4 requests a second got up to 23 more in 4 s than the users' bound allows when the node beside it, and only that, was restarted: each new process sends freely until it has the first answer.

Cause: what a server says of itself was known to one process only, and was lost with it while the server went on. A mark that the server is leaving was lost in the same way, and with it the drain time that had begun.

Answers now carry a notice of the server, and callers send it back with their next calls to the same address (core/notices.py). A node takes the rate until its server has answered itself, and refuses calls, not run, if its server is leaving. A notice names the server by id and start time, so that it says nothing about a successor. Refusals at the first hop name the server and its rate in event 401.

Peers with frames of version 1 get and send no notices.

On the code before, test_restarts_of_the_node_beside_a_server_do_not_forget_its_rate failed with all three rates. The model of a call graph can now restart nodes.

--- a/src/ragworthoist/core/advertised_rate.py
+++ b/src/ragworthoist/core/advertised_rate.py
@@ -57,19 +57,17 @@
             self._advertised_at = now
         elif sent_at <= self._advertised_at:
             return False
-        if rate == self.rate:
-            return False
+        return self._apply(rate, now)
+
+    def adopt(self, rate, now):
+        """Use the `rate` that a caller knows until an answer sets or ends it."""
         if self.rate is None:
-            # The server is in need and has been sent more than it takes: no burst.
-            self._tokens = 0.0
-            self._refilled_at = now
-        self._refill(now)
-        self.rate = rate
-        return True
+            self._apply(rate, now)
 
     def reset(self):
         """Forget what an earlier server process advertised."""
         self.rate = None
+        self._advertised_at = 0.0
 
     def allows(self, now):
         """Return whether a request may be sent at `now`."""
@@ -91,6 +89,17 @@
         self._refill(now)
         return max(0.0, ahead + _WHOLE_TOKEN - self._tokens) / self._kept_rate
 
+    def _apply(self, rate, now):
+        if rate == self.rate:
+            return False
+        if self.rate is None:
+            # The server is in need and has been sent more than it takes: no burst.
+            self._tokens = 0.0
+            self._refilled_at = now
+        self._refill(now)
+        self.rate = rate
+        return True
+
     @property
     def _kept_rate(self):
         return max(MIN_RATE, self.rate)
--- a/src/ragworthoist/core/entities.py
+++ b/src/ragworthoist/core/entities.py
@@ -89,6 +89,8 @@
         Latency to aim for, in seconds.
     has_failed_onward : bool
         Whether a call failed that the server made to serve this one.
+    notice : ServerNotice or None
+        What the caller's node knows of the server at the address that it calls.
     """
 
     request_id: bytes
@@ -108,6 +110,7 @@
     ticket: bytes = b""
     latency_target: float = 1.0
     has_failed_onward: bool = False
+    notice: object = None
 
 
 @dataclass(slots=True)
@@ -129,6 +132,8 @@
         calls wait.
     endpoint : bytes
         Instance id of the endpoint that was tried, set by the caller's node only.
+    notice : ServerNotice or None
+        What the server has said of itself, None if it has no need to be known.
     """
 
     outcome: Outcome
@@ -141,6 +146,7 @@
     levels: list = field(default_factory=list)
     load: float = 0.0
     endpoint: bytes = b""
+    notice: object = None
 
 
 def refuse(reason, call=None, retryable=True):
--- a/src/ragworthoist/edge/dispatching.py
+++ b/src/ragworthoist/edge/dispatching.py
@@ -2,6 +2,7 @@
 
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
 from ragworthoist.core.levels import EndpointLevels
+from ragworthoist.core.notices import NoticeTable
 from ragworthoist.events import Event, log_event
 
 # A call that was not sent to a server is retried only while it has had fewer retries
@@ -43,6 +44,7 @@
     def __init__(self, node):
         self._node = node
         self._endpoint_levels = EndpointLevels()
+        self._notices = NoticeTable()
 
     async def dispatch(self, call, parent=None):
         """Return the `Answer` to `call`.
@@ -78,11 +80,11 @@
                 answer = answer or refuse(Reason.DEADLINE, call)
                 break
             must_accept = parent is None or retries >= MAX_RETRIES_AFTER_REFUSAL
-            endpoint, reason = self._choose_endpoint(
+            endpoint, refusal = self._choose_endpoint(
                 call, parent, excluded, must_accept, now
             )
             if endpoint is None:
-                answer = answer or refuse(reason, call)
+                answer = answer or refusal
                 break
             answer = await self._call_endpoint(endpoint, call)
             excluded.add(endpoint.instance)
@@ -102,7 +104,7 @@
         return answer
 
     def _choose_endpoint(self, call, parent, excluded, must_accept, now):
-        """Return (endpoint, None), or (None, reason) if no endpoint accepts `call`.
+        """Return (endpoint, None), or (None, answer) if no endpoint accepts `call`.
 
         Unless `must_accept`, `call` is offered even if its draw is above all levels.
         """
@@ -112,17 +114,31 @@
             call.service, membership.by_service, membership.version, excluded, now
         )
         if not candidates:
-            return None, Reason.NO_ENDPOINT
+            return None, refuse(Reason.NO_ENDPOINT, call)
         if self._endpoint_levels:
             accepting = self._filter_by_level(call, parent, candidates, now)
             if not accepting and must_accept:
-                return None, Reason.LEVEL
+                return None, self._refuse_by_level(call, candidates, now)
             # Work has already been done for the request of a server's call, so it is
             # offered to some endpoints in any case.
             candidates = accepting or candidates
         chosen = node.placement.choose(candidates, call.kind, call.latency_target, now)
         return chosen, None
 
+    def _refuse_by_level(self, call, candidates, now):
+        """Return the refusal of a call whose draw is above all levels.
+
+        If a server of the `candidates` advertises a rate, the refusal names it.
+        """
+        for member in candidates:
+            notice = self._notices.get(member.address, now)
+            if notice is not None and notice.rate is not None:
+                answer = refuse(Reason.LIMIT, call)
+                answer.endpoint = member.instance
+                answer.notice = notice
+                return answer
+        return refuse(Reason.LEVEL, call)
+
     def _filter_by_level(self, call, parent, candidates, now):
         """Return the candidates whose level is above the draw of `call`.
 
@@ -146,6 +162,7 @@
         node = self._node
         node.placement.record_start(endpoint.instance)
         started = node.clock()
+        call.notice = self._notices.get(endpoint.address, started)
         answer = None
         try:
             if endpoint.instance == node.instance:
@@ -174,6 +191,9 @@
             node.placement.eject_unreachable(endpoint.instance, now)
         else:
             self._endpoint_levels.update(endpoint.instance, dict(answer.levels), now)
+            # A node that has just started may refuse a call before it knows its server.
+            if answer.notice is not None or answer.outcome is Outcome.COMPLETED:
+                self._notices.update(endpoint.address, answer.notice, now)
         if answer.outcome is Outcome.COMPLETED or answer.reason in _EXECUTION_FAILURES:
             failed = (
                 answer.reason in _EXECUTION_FAILURES
--- a/src/ragworthoist/edge/entrance.py
+++ b/src/ragworthoist/edge/entrance.py
@@ -140,6 +140,10 @@
         if not is_logged(event):
             return
         node = self._node
+        notice = answer.notice
+        limit = {}
+        if notice is not None and notice.rate is not None:
+            limit = {"server": notice.server, "rate": notice.rate}
         write_event(
             event,
             request=attempt_id.decode("latin1"),
@@ -151,6 +155,7 @@
             endpoint=answer.endpoint.hex(),
             load=round(answer.load, 2),
             after_ms=_to_milliseconds(node.clock() - started),
+            **limit,
         )
 
 
--- a/src/ragworthoist/edge/forwarding.py
+++ b/src/ragworthoist/edge/forwarding.py
@@ -144,7 +144,7 @@
             A handle for `cancel`, None if the call was refused.
         """
         now = self._clock()
-        reason = self._find_refusal_reason(now)
+        reason = self._find_refusal_reason(call, now)
         if reason is not None:
             self._refuse(call, reply, reason)
             return None
@@ -223,9 +223,11 @@
         self.rate_levels.tick(now, self.advertised_rate.rate)
         self.admission.tick(now)
 
-    def _find_refusal_reason(self, now):
+    def _find_refusal_reason(self, call, now):
         if self.is_leaving:
             return Reason.LEAVING
+        if call.notice is not None and not self.notices.apply_notice(call.notice, now):
+            return Reason.LEAVING
         if not self.lifecycle.admits(now):
             is_unknown = self.lifecycle.state is ServerState.UNKNOWN
             return Reason.SERVER_UNVERIFIED if is_unknown else Reason.LEAVING
@@ -235,6 +237,7 @@
         answer = refuse(reason, call)
         answer.load = self.load
         answer.levels = self._fold_levels()
+        answer.notice = self.notices.make_notice()
         log_event(
             Event.CALL_REFUSED,
             request=call.request_id.decode("latin1"),
@@ -405,6 +408,7 @@
             answer.retryable = False
         answer.load = self.load
         answer.levels = self._fold_levels()
+        answer.notice = self.notices.make_notice()
         answer.unused_retries = pending.call.retry_allowance
         self._log(pending, answer, now)
         pending.reply(answer)
--- a/src/ragworthoist/net/frames.py
+++ b/src/ragworthoist/net/frames.py
@@ -13,6 +13,7 @@
 
 from ragworthoist.core.entities import Answer, Call, Outcome, Reason
 from ragworthoist.core.members import Message
+from ragworthoist.core.notices import ServerNotice
 from ragworthoist.exceptions import AuthenticationError, FrameError
 
 PROTOCOL_VERSION = 1
@@ -66,10 +67,13 @@
     CHECKED = 14
 
 
-def pack_call(call_id, call, remaining):
-    """Return the frame of `call`, with `remaining` seconds until its deadline."""
+def pack_call(call_id, call, remaining, frame_version=FRAME_VERSION):
+    """Return the frame of `call` for a peer that uses `frame_version`.
+
+    `remaining` is the time until the deadline of the call, in seconds.
+    """
     length, inline = _split_body(call.body)
-    return [
+    frame = [
         int(FrameKind.CALL),
         call_id,
         call.request_id,
@@ -90,6 +94,7 @@
         length,
         inline,
     ]
+    return _append_notice(frame, call.notice, frame_version)
 
 
 def unpack_call(frame, now):
@@ -124,6 +129,7 @@
             latency_target,
             length,
             inline,
+            *later_fields,
         ) = frame
         call = Call(
             request_id=bytes(request_id),
@@ -142,6 +148,7 @@
             is_retry=bool(is_retry),
             ticket=bytes(ticket),
             latency_target=max(float(latency_target), 0.001),
+            notice=_unpack_notice(later_fields),
         )
     except (TypeError, ValueError) as error:
         raise FrameError("call", str(error)) from None
@@ -155,7 +162,7 @@
     reason = answer.reason
     if frame_version < 2:
         reason = _REASONS_IN_VERSION_1.get(reason, reason)
-    return [
+    frame = [
         int(FrameKind.ANSWER),
         call_id,
         int(answer.outcome),
@@ -169,6 +176,7 @@
         length,
         inline,
     ]
+    return _append_notice(frame, answer.notice, frame_version)
 
 
 def unpack_answer(frame):
@@ -193,6 +201,7 @@
             load,
             length,
             body,
+            *later_fields,
         ) = frame
         answer = Answer(
             outcome=_OUTCOMES[outcome],
@@ -204,6 +213,7 @@
             retryable=bool(retryable),
             levels=[(str(kind), int(level)) for kind, level in levels],
             load=float(load),
+            notice=_unpack_notice(later_fields),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise FrameError("answer", str(error)) from None
@@ -211,6 +221,17 @@
     return answer, length, body is not None
 
 
+def _append_notice(frame, notice, frame_version):
+    # Frames of version 1 have no field for it.
+    if frame_version >= 2:
+        frame.append(notice and notice.pack())
+    return frame
+
+
+def _unpack_notice(later_fields):
+    return ServerNotice.unpack(later_fields[0]) if later_fields else None
+
+
 def _split_body(body):
     """Return the length and inline body fields of a frame.
 
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -135,7 +135,8 @@
             self._loop.create_future(), idempotent=call.idempotent
         )
         timer = self._loop.call_later(remaining + ANSWER_GRACE_SECONDS, pending.finish)
-        self._send(pack_call(call_id, call, remaining))
+        frame_version = self._handshake.frame_version
+        self._send(pack_call(call_id, call, remaining, frame_version))
         sender = None
         if not is_inline(call.body):
             sender = self._start(self._send_body(call_id, call.body, pending))
--- a/tests/edge/call_graph.py
+++ b/tests/edge/call_graph.py
@@ -14,7 +14,8 @@
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist.core.budgets import FleetRetryBound, FleetRetryBudget
 from ragworthoist.core.configuration import ConfigurationTable
-from ragworthoist.core.members import Member
+from ragworthoist.core.entities import Reason, refuse
+from ragworthoist.core.members import Member, MemberState
 from ragworthoist.core.membership import Membership
 from ragworthoist.core.pauses import PauseMeter
 from ragworthoist.core.placement import Placement
@@ -237,7 +238,10 @@
             if not done.done():
                 done.set_result(answer)
 
-        forwarder = self._graph.nodes[endpoint.instance].forwarder
+        node = self._graph.nodes.get(endpoint.instance)
+        if node is None:
+            return refuse(Reason.PEER_UNREACHABLE, call)
+        forwarder = node.forwarder
         pending = forwarder.submit(replace(call), reply)
         try:
             answer = await done
@@ -250,10 +254,13 @@
 
 
 class _Node:
-    def __init__(self, graph, number, service_name, place):
+    def __init__(self, graph, number, service_name, place, instance=None, server=None):
         self.graph = graph
-        self.instance = b"%08d" % number
-        self.random = random.Random(number)
+        self.number = number
+        self.service_name = service_name
+        self.place = place
+        self.instance = instance or b"%08d" % number
+        self.random = random.Random(self.instance)
         self.clock = asyncio.get_running_loop().time
         self.member = Member(
             self.instance, service_name, "r", f"z{number % 3}", f"10.0.0.{number}", 1
@@ -264,9 +271,8 @@
         self.lifecycle.process_report(
             ServerReport("i", service_name, "here:1", service.slots, False, 1), 0.0
         )
-        self.forwarder = Forwarder(
-            self.lifecycle, _Server(self, service, place), self.clock
-        )
+        self.server = server or _Server(self, service, place)
+        self.forwarder = Forwarder(self.lifecycle, self.server, self.clock)
         self.forwarder.apply_slots(service.slots)
         self.placement = Placement(self.member, self.random)
         self.budget = FleetRetryBudget(graph.bound)
@@ -317,9 +323,11 @@
         self.bound = bound or FleetRetryBound(0.2, 48.0, 10.0)
         self.client_retries = client_retries
         self.nodes = {}
+        self._stopping = []
         self.result = Result()
         self.arrived = set()
         self.repeated = set()
+        self._restarts = 0
         self._random = random.Random(7)
 
     def encode_routes(self):
@@ -372,22 +380,44 @@
         ticker.cancel()
         return self.result
 
+    def restart_node(self, service, place):
+        """Replace the node of one server by a new process, which knows nothing.
+
+        The server goes on, and the old process finishes the calls that it has accepted.
+        """
+        old = next(
+            node
+            for node in self.nodes.values()
+            if (node.service_name, node.place) == (service, place)
+        )
+        self._restarts += 1
+        new = _Node(
+            self, old.number, service, place, b"new%05d" % self._restarts, old.server
+        )
+        self._stopping.append(self.nodes.pop(old.instance))
+        old.forwarder.is_leaving = True
+        self.nodes[new.instance] = new
+        left = replace(old.member, state=MemberState.LEFT, incarnation=1)
+        now = asyncio.get_running_loop().time()
+        members = [node.member for node in self.nodes.values()]
+        for node in self.nodes.values():
+            node.membership.merge([left, *members], now)
+
     async def _tick(self):
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = asyncio.get_running_loop().time()
-            for node in self.nodes.values():
+            for node in [*self.nodes.values(), *self._stopping]:
                 node.pauses.tick(now)
                 node.forwarder.tick(now)
 
     async def _send_requests(self, tasks, kind, seconds):
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        nodes = list(self.nodes.values())
         while loop.time() < end:
             rate = self.kinds[kind.name].rate
             await asyncio.sleep(self._random.expovariate(rate))
-            node = self._random.choice(nodes)
+            node = self._random.choice(list(self.nodes.values()))
             tasks.create_task(self._request(node, kind))
 
     async def _request(self, node, kind):
--- a/tests/edge/test_attempts.py
+++ b/tests/edge/test_attempts.py
@@ -13,10 +13,13 @@
 from ragworthoist.core.entities import Answer, Call, Outcome, Reason
 from ragworthoist.core.members import Member
 from ragworthoist.core.membership import Membership
+from ragworthoist.core.notices import ServerNotice
 from ragworthoist.core.placement import Placement
 from ragworthoist.edge.dispatching import AttemptDispatcher
 from ragworthoist.net.bodies import BodyPipe
 
+NOTICE = ServerNotice("i-1", 5, 12.8, False)
+
 
 class FakePeers:
     """Answers each attempt with the next answer of `script`."""
@@ -24,9 +27,11 @@
     def __init__(self, script):
         self._script = list(script)
         self.called = []
+        self.notices = []
 
     async def call(self, endpoint, call):
         self.called.append(endpoint.instance)
+        self.notices.append(call.notice)
         return self._script.pop(0)
 
 
@@ -220,3 +225,41 @@
     answer = dispatch(node, make_call(True))
     assert answer.outcome is Outcome.NOT_RUN
     assert len(node.peers.called) <= 4
+
+
+@pytest.mark.parametrize(
+    ("second", "third_notice"),
+    [
+        # A completed answer without a notice says that there is no need any more.
+        (ok(), None),
+        # A node that has just been restarted may refuse before it knows its server.
+        (Answer(Outcome.NOT_RUN, Reason.SERVER_UNVERIFIED), NOTICE),
+        (Answer(Outcome.UNKNOWN, Reason.PEER_LOST), NOTICE),
+    ],
+)
+def test_what_an_answer_says_of_its_server_is_sent_back_with_later_calls(
+    second, third_notice
+):
+    first = ok()
+    first.notice = NOTICE
+    node = FakeNode([first, second, ok()], endpoints=1)
+    dispatcher = AttemptDispatcher(node)
+    for _ in range(3):
+        # Time enough for an endpoint that was avoided to be tried again.
+        node.now += 20.0
+        call = make_call(False)
+        call.deadline = node.now + 1.0
+        anyio.run(dispatcher.dispatch, call, None)
+    assert node.peers.notices == [None, NOTICE, third_notice]
+
+
+def test_refusal_at_the_first_hop_names_a_server_that_advertises_a_rate():
+    limited = Answer(Outcome.NOT_RUN, Reason.LIMIT, levels=[("order", 1)])
+    limited.notice = NOTICE
+    node = FakeNode([limited], endpoints=1)
+    dispatcher = AttemptDispatcher(node)
+    for _ in range(2):
+        answer = anyio.run(dispatcher.dispatch, make_call(True), None)
+        assert (answer.reason, answer.notice) == (Reason.LIMIT, NOTICE)
+        assert answer.endpoint == b"e0"
+    assert len(node.peers.called) == 1
--- a/tests/edge/test_rate_limited_servers.py
+++ b/tests/edge/test_rate_limited_servers.py
@@ -126,3 +126,16 @@
         times = result.arrival_times["welfare", place]
         assert find_largest_excess(times, rate, 2.0 + SETTLE_SECONDS) <= 0
     assert result.statuses["refund", 503] > result.statuses["refund", 500]
+
+
+@pytest.mark.parametrize("rate", [1.0, 2.0, 4.0])
+def test_restarts_of_the_node_beside_a_server_do_not_forget_its_rate(rate):
+    """Callers tell the new process what the server had said before."""
+    changes = [(1.0, advertise("listings", rate, None, None, None, None))]
+    changes += [
+        (5.0 + step, lambda graph: graph.restart_node("listings", 0))
+        for step in (0.0, 0.7, 1.4, 5.0, 5.3)
+    ]
+    result = play(make_graph(), 14.0, changes=changes)
+    times = result.arrival_times["listings", 0]
+    assert find_largest_excess(times, rate, 1.0 + SETTLE_SECONDS) <= 0
--- a/tests/net/test_handshake.py
+++ b/tests/net/test_handshake.py
@@ -4,13 +4,16 @@
 
 import pytest
 
-from ragworthoist.core.entities import Answer, Outcome, Reason
+from ragworthoist.core.entities import Answer, Call, Outcome, Reason
+from ragworthoist.core.notices import ServerNotice
 from ragworthoist.exceptions import FrameError
 from ragworthoist.net.frames import (
     FRAME_VERSION,
     NONCE_BYTES,
     pack_answer,
+    pack_call,
     unpack_answer,
+    unpack_call,
 )
 from ragworthoist.net.handshake import Handshake
 
@@ -50,6 +53,18 @@
         handshake.process_frame([*handshake.hello[:3], "text"])
 
 
+@pytest.mark.parametrize(("version", "fields"), [(1, 0), (FRAME_VERSION, 1)])
+@pytest.mark.parametrize("notice", [None, ServerNotice("i-1", 5, 12.8, True)])
+def test_notices_are_sent_to_peers_that_know_them(version, fields, notice):
+    call = Call(b"id", "k", 0, 1.0, 2.0, 1, 0, "shop", "GET", "/", notice=notice)
+    answer = Answer(Outcome.COMPLETED, Reason.ANSWERED, 200, notice=notice)
+    frames = (pack_call(1, call, 1.0, version), pack_answer(1, answer, version))
+    assert [len(frame) for frame in frames] == [19 + fields, 12 + fields]
+    expected = notice if fields else None
+    assert unpack_call(frames[0], 0.0)[0].notice == expected
+    assert unpack_answer(frames[1])[0].notice == expected
+
+
 @pytest.mark.parametrize(
     ("version", "reason"), [(1, Reason.SHED), (FRAME_VERSION, Reason.LIMIT)]
 )
