Query the id of a server on a connection of its own

A client could be told that its request had not run, while the server ran it: a node that starts asks its server for its id, a busy server rejects the query, and a faulty one writes this rejection once more when the next request has arrived.

Cause: responses are told apart by the id of the attempt. A response without one is taken for the present call if it is an error, which is safe only on connections on which none has come before. The query of the id has no attempt id, and its connection was used for calls afterwards.

The connection of the query is now closed after it. A rejected call with or without an id, the other cause of such a copy, was safe before.

test_call_after_a_rejected_query_of_the_id_is_said_not_to_have_run failed before: the second call was said not to have run, and the server had run it.

--- a/src/ragworthoist/edge/reporting.py
+++ b/src/ragworthoist/edge/reporting.py
@@ -91,7 +91,10 @@
         try:
             with anyio.fail_after(VERIFY_TIMEOUT_SECONDS):
                 sent_at = node.clock()
-                response = await node.server_client.send(head.encode())
+                # The response has no attempt id.
+                response = await node.server_client.send(
+                    head.encode(), uses_own_connection=True
+                )
         except (TimeoutError, ExchangeError) as error:
             log_event(
                 Event.REPORT_REFUSED,
--- a/src/ragworthoist/net/client.py
+++ b/src/ragworthoist/net/client.py
@@ -64,6 +64,7 @@
         accepts=lambda response: True,
         is_head_request=False,
         timeout=None,
+        uses_own_connection=False,
     ):
         """Start sending a request and return its `Exchange`.
 
@@ -83,13 +84,18 @@
         timeout : float, optional
             Seconds until the head of the response, and a short body, must have
             arrived.
+        uses_own_connection : bool
+            Whether to open a connection for this request alone. Needed if `accepts`
+            cannot tell its response from a late one, or from those to later requests.
         """
         loop = asyncio.get_running_loop()
         deadline = None if timeout is None else loop.time() + timeout
         exchange = Exchange(head, body, accepts, is_head_request, deadline, on_done)
-        connection = self._pop_idle()
+        connection = None if uses_own_connection else self._pop_idle()
         if connection is None:
-            exchange.connect_task = loop.create_task(self._connect_for(exchange))
+            exchange.connect_task = loop.create_task(
+                self._connect_for(exchange, is_reusable=not uses_own_connection)
+            )
         else:
             exchange.connection = connection
             connection.start(exchange)
@@ -155,13 +161,14 @@
             connection.abort()
         return None
 
-    async def _connect_for(self, exchange):
+    async def _connect_for(self, exchange, is_reusable):
         try:
             connection = await self._connect()
         except ConnectFailedError as error:
             exchange.connect_task = None
             exchange.on_done(None, error)
             return
+        connection.is_reusable = is_reusable
         exchange.connect_task = None
         exchange.connection = connection
         connection.start(exchange)
--- a/tests/edge/test_late_answers.py
+++ b/tests/edge/test_late_answers.py
@@ -4,12 +4,15 @@
 """
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
 from ragworthoist.core.entities import Call, Outcome
+from ragworthoist.core.routes import ServiceInfo
 from ragworthoist.core.server_lifecycle import ServerLifecycle, ServerReport
 from ragworthoist.edge.forwarding import Forwarder
+from ragworthoist.edge.reporting import ServerReports
 from ragworthoist.net.client import HttpClient
 
 HANG_SECONDS = 30.0
@@ -81,33 +84,75 @@
     )  # fmt: skip
 
 
-@pytest.mark.parametrize(
-    "first",
-    [SUCCESS, REJECTION, REJECTION_WITH_ID, FAILURE],
-    ids=["success", "rejection", "rejection with id", "failure"],
-)
-@pytest.mark.parametrize("moment", ["at once", "idle", "before the answer"])
-@pytest.mark.parametrize("cut", [1, 20, 10_000])
-@pytest.mark.parametrize("pause", [0.0, 0.05])
-def test_second_call_gets_its_own_answer_or_none(first, moment, cut, pause):
+def report_ready(forwarder):
+    report = ServerReport("i", "shop", "here:1", 4, False, 1)
+    forwarder.lifecycle.process_report(report, 0.0)
+
+
+async def query_id(forwarder, client, clock):
+    """Query the id of the server, as a node does at its start."""
+    node = SimpleNamespace(
+        policy=SimpleNamespace(service=lambda name: ServiceInfo(name, "/first", 8)),
+        settings=SimpleNamespace(node=SimpleNamespace(service="shop")),
+        lifecycle=forwarder.lifecycle,
+        forwarder=forwarder,
+        server_client=client,
+        clock=clock,
+    )
+    await ServerReports(node).verify_server()
+    report_ready(forwarder)
+
+
+async def call_first(forwarder, _client, _clock):
+    report_ready(forwarder)
+    await forwarder.serve(make_call(b"first"))
+
+
+def play(first, moment, cut, pause, send_first):
+    """Return the answer to the second call, and what the server ran."""
+
     async def run():
         server = CopyingServer(first, moment, cut)
         listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
         address = listening.sockets[0].getsockname()[:2]
         lifecycle = ServerLifecycle("shop", "here:1", 2.0)
-        lifecycle.process_report(ServerReport("i", "shop", "here:1", 4, False, 1), 0.0)
         async with asyncio.timeout(HANG_SECONDS), HttpClient(address) as client:
             clock = asyncio.get_running_loop().time
             forwarder = Forwarder(lifecycle, client, clock)
-            await forwarder.serve(make_call(b"first"))
+            await send_first(forwarder, client, clock)
             await asyncio.sleep(pause)
             second = await forwarder.serve(make_call(b"second"))
         listening.close()
         return second, server.ran
 
-    second, ran = asyncio.run(run())
+    return asyncio.run(run())
+
+
+def check_second(second, ran):
     if second.outcome is Outcome.COMPLETED:
         assert (second.status, second.body) == (200, OWN)
     else:
         # A call that may have run is never said not to have run.
         assert not ran or second.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "first",
+    [SUCCESS, REJECTION, REJECTION_WITH_ID, FAILURE],
+    ids=["success", "rejection", "rejection with id", "failure"],
+)
+@pytest.mark.parametrize("moment", ["at once", "idle", "before the answer"])
+@pytest.mark.parametrize("cut", [1, 20, 10_000])
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_second_call_gets_its_own_answer_or_none(first, moment, cut, pause):
+    check_second(*play(first, moment, cut, pause, call_first))
+
+
+@pytest.mark.parametrize("first", [REJECTION, FAILURE], ids=["rejection", "failure"])
+@pytest.mark.parametrize("moment", ["at once", "idle", "before the answer"])
+@pytest.mark.parametrize("cut", [1, 20, 10_000])
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_call_after_a_rejected_query_of_the_id_is_said_not_to_have_run(
+    first, moment, cut, pause
+):
+    check_second(*play(first, moment, cut, pause, query_id))
--- a/tests/edge/test_reporting.py
+++ b/tests/edge/test_reporting.py
@@ -51,7 +51,7 @@
             return None
         return SimpleNamespace(service=lambda name: ServiceInfo(name, "/health", 8))
 
-    async def send(self, _head):
+    async def send(self, _head, **_options):
         answer = self._script.pop(0)
         if isinstance(answer, Exception):
             raise answer
@@ -104,7 +104,7 @@
     late = ServerReport("i-1", "shop", "here:1", 8, False, 3, server_start_ms=5)
     if is_report_first:
 
-        async def send_after_report(_head):
+        async def send_after_report(_head, **_options):
             node.lifecycle.process_report(late, 1.0)
             return leaving
 
