Show that a head that stops in the middle is never delivered as an answer

An operator of a similar system reported successes with empty or short bodies after a server had closed its connection in the middle of a head. It does not happen here: the headers must be complete before a response exists, and a body without its end is cut. Cuts after each byte of heads with a length, with chunks and with neither, behind an interim response and without, with a close and with a reset.

--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -160,6 +160,36 @@
         results, _ = run_script([answer])
         assert results == [result]
 
+    @pytest.mark.parametrize("ending", [CLOSE, RESET], ids=["close", "reset"])
+    @pytest.mark.parametrize(
+        "framing",
+        [b"content-length: 0\r\n", b"transfer-encoding: chunked\r\n", b""],
+        ids=["length", "chunked", "until the end"],
+    )
+    @pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+    def test_head_that_stops_in_the_middle_is_no_response(
+        self, interim, framing, ending
+    ):
+        head = interim + b"HTTP/1.1 200 OK\r\nid: 1\r\n" + framing + b"\r\n"
+        for cut in range(len(head)):
+            results, _ = run_script([[head[:cut], ending]])
+            assert results == [ConnectionLostError], head[:cut]
+
+    @pytest.mark.parametrize("ending", [CLOSE, RESET], ids=["close", "reset"])
+    @pytest.mark.parametrize(
+        "framing",
+        [
+            b"content-length: 9\r\ntransfer-encoding: identity\r\n",
+            b"transfer-encoding: identity\r\ncontent-length: 9\r\n",
+        ],
+    )
+    def test_body_shorter_than_its_stated_length_is_not_delivered(
+        self, framing, ending
+    ):
+        head = b"HTTP/1.1 200 OK\r\nid: 1\r\n" + framing + b"\r\n"
+        results, _ = run_script([[head + b"short", ending]])
+        assert results[0] in (ConnectionLostError, GarbledResponseError)
+
     @pytest.mark.parametrize(
         ("first", "connections"),
         [
