Answer what arrives during a planned stop before the process exits

Clients of a node that was stopped as planned got 502 at the exit, or a closed connection, for requests that arrived late in the time until SIGKILL and that a server was still at work on, among them requests that may not be repeated.

Cause: a call that arrives during the stop got the whole time limit of its client. Admission weighs the expected time of a call against its deadline, so that it took calls that could not end before the exit, and the server worked on for a client that no longer had a connection.

core/planned_stop.py gives calls that arrive during the stop a deadline before the exit, at the entrance and at the last hop. Calls that are expected to take longer are refused, not run, with a Retry-After for another node; a server at work on one whose time is not known stops in time to answer.

--- a/src/ragworthoist/edge/entrance.py
+++ b/src/ragworthoist/edge/entrance.py
@@ -56,6 +56,10 @@
                 # Calls that the server makes while it runs a retry count as retries.
                 call.is_retry = True
                 node.budget.record_retry(call.service, started)
+        client_deadline = call.deadline
+        stop = node.forwarder.planned_stop
+        if stop is not None:
+            call.deadline = stop.limit_deadline(client_deadline)
         try:
             answer = await node.dispatcher.dispatch(call, parent)
         except BaseException:
@@ -66,11 +70,18 @@
                 after_ms=_to_milliseconds(node.clock() - started),
             )
             raise
+        if (
+            answer.outcome is Outcome.NOT_RUN
+            and answer.reason is Reason.DEADLINE
+            and call.deadline < client_deadline
+        ):
+            # The node has no time left for the call, but its client may have.
+            answer.reason = Reason.LEAVING
         if parent is not None and _has_failed(answer):
             parent.has_failed_onward = True
         self._log(request, attempt_id, route, answer, started)
         node.outcomes.record(call.kind, call.rank, answer, node.clock() - started)
-        await self._deliver(request, attempt_id, call, answer)
+        await self._deliver(request, attempt_id, call, answer, client_deadline)
 
     def _make_call(self, request, started):
         node = self._node
@@ -107,7 +118,7 @@
         )
         return call, route, attempt_id, None
 
-    async def _deliver(self, request, attempt_id, call, answer):
+    async def _deliver(self, request, attempt_id, call, answer, client_deadline):
         if answer.outcome is Outcome.COMPLETED:
             try:
                 await request.respond(answer.status, answer.headers, answer.body)
@@ -118,13 +129,13 @@
             return
         retry_after = None
         if answer.outcome is Outcome.NOT_RUN and answer.reason is not Reason.DEADLINE:
-            retry_after = self._suggest_retry_after(call)
+            retry_after = self._suggest_retry_after(call, client_deadline)
         headers = make_refusal_headers(attempt_id, retry_after)
         await request.respond(_choose_status(answer), headers)
 
-    def _suggest_retry_after(self, call):
+    def _suggest_retry_after(self, call, client_deadline):
         """Return the seconds after which a refused client should retry."""
-        time_left = max(0.0, call.deadline - self._node.clock())
+        time_left = max(0.0, client_deadline - self._node.clock())
         delay = (
             RETRY_AFTER_MIN_SECONDS
             + RETRY_AFTER_LATENCY_TARGET_SHARE
--- a/src/ragworthoist/edge/forwarding.py
+++ b/src/ragworthoist/edge/forwarding.py
@@ -105,6 +105,7 @@
         self.arrivals = ArrivalMeter()
         self.notices = ServerNotices(lifecycle, self.advertised_rate, self.arrivals)
         self.is_leaving = False
+        self.planned_stop = None
         self.in_progress = 0
         self._client = client
         self._clock = clock
@@ -148,6 +149,8 @@
         if reason is not None:
             self._refuse(call, reply, reason)
             return None
+        if self.planned_stop is not None:
+            call.deadline = self.planned_stop.limit_deadline(call.deadline)
         self.rate_levels.record(call)
         pending = PendingCall(call, reply)
         self.in_progress += 1
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -16,6 +16,7 @@
 from ragworthoist.core.configuration import ConfigurationTable
 from ragworthoist.core.pauses import PauseMeter
 from ragworthoist.core.placement import Placement
+from ragworthoist.core.planned_stop import PlannedStop
 from ragworthoist.core.routes import Splitter
 from ragworthoist.core.server_lifecycle import ServerLifecycle, ServerState
 from ragworthoist.edge.discovery import FleetDiscovery
@@ -43,8 +44,6 @@
 ENTRANCE_GRACE_SECONDS = 2.6
 # Gossip reaches all nodes of a region within about a second.
 GOSSIP_SPREAD_SECONDS = 1.2
-# Part of the time until SIGKILL that is reserved for closing down.
-EXIT_RESERVE_SECONDS = 0.8
 DRAIN_POLL_SECONDS = 0.05
 MAX_CONTACTED_MEMBERS = 24
 # Until it is ready, a node repeats its pings to members that have not answered. The
@@ -357,7 +356,8 @@
         return self.entrance.open_requests + self.forwarder.in_progress
 
     async def _drain(self):
-        drain_end = self.clock() + self.bounds.grace_seconds - EXIT_RESERVE_SECONDS
+        stop = PlannedStop(self.clock(), self.bounds.grace_seconds)
+        self.forwarder.planned_stop = stop
         self.entrance.drain()
         self.tasks.start_soon(self.discovery.leave)
         # Until clients are sent elsewhere, the node serves them and the server
@@ -368,7 +368,7 @@
         await anyio.sleep(GOSSIP_SPREAD_SECONDS)
         self.forwarder.is_leaving = True
         await self.entrance.stop_accepting()
-        while self.clock() < drain_end and (
+        while self.clock() < stop.exits_at and (
             self.in_progress or self.entrance.connections
         ):
             await anyio.sleep(DRAIN_POLL_SECONDS)
--- a/src/ragworthoist_lab/mesh_server.py
+++ b/src/ragworthoist_lab/mesh_server.py
@@ -31,7 +31,8 @@
     Parameters
     ----------
     service_seconds : float
-        Service time of a request.
+        Service time of a request. If the time limit of the request is shorter, the
+        server stops at the limit and answers 504.
     not_run_every : int
         Every request whose number is a multiple of this is refused before it runs;
         0 for none.
@@ -137,6 +138,11 @@
                 "left_ms": int(find_header(headers, b"deadline-ms") or 0),
             }
         )
+        seconds_left = self.records[-1]["left_ms"] / 1000
+        if 0 < seconds_left < behaviour.service_seconds:
+            await anyio.sleep(seconds_left)
+            await respond(send, 504, common_headers)
+            return
         await anyio.sleep(behaviour.service_seconds)
         if behaviour.lose_every and self.request_count % behaviour.lose_every == 0:
             # The HTTP server closes the connection when the application returns
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/test_forwarding.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ragworthoist.core.entities import Call, Outcome, Reason
+from ragworthoist.core.planned_stop import PlannedStop
 from ragworthoist.core.server_lifecycle import ServerLifecycle, ServerReport
 from ragworthoist.edge.forwarding import DEFAULT_SLOTS, Forwarder
 from ragworthoist.exceptions import (
@@ -394,3 +395,22 @@
         assert forwarder.lifecycle.is_ready
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(("seconds_left", "limit_ms"), [(9.0, 5050), (3.0, 3000)])
+def test_call_of_a_peer_during_a_planned_stop_ends_before_the_exit(
+    seconds_left, limit_ms
+):
+    async def run():
+        clock = Clock()
+        client = FakeClient(Response(200, [*SEALED]))
+        forwarder = make_forwarder(client, clock)
+        forwarder.planned_stop = PlannedStop(clock.now, 6.0)
+        call = make_call()
+        call.deadline = clock.now + seconds_left
+        await forwarder.serve(call)
+        head = client.heads[0].split(b"\r\n")
+        sent_ms = int(dict(h.split(b": ", 1) for h in head[1:] if h)[b"deadline-ms"])
+        assert limit_ms - 2 <= sent_ms <= limit_ms
+
+    asyncio.run(run())
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -294,3 +294,51 @@
         wait_until(lambda: mesh.is_ready(stopped))
         response = asyncio.run(send_attempt(stopped, "GET", "/shop/x", "again"))
         assert response[0] == 200
+
+    @pytest.mark.parametrize("target", ["/shop/x", "/order/x"])
+    @pytest.mark.parametrize("is_time_known", [True, False])
+    def test_request_that_comes_late_in_the_grace_is_cut_without_an_answer(
+        self, mesh, target, is_time_known
+    ):
+        stopped = mesh.endpoints_of("stock")[0]
+        prefix = f"late-{target[1]}{is_time_known:d}-"
+
+        async def send_while_stopping():
+            """Send requests that take longer than the time left until the exit."""
+            loop = asyncio.get_running_loop()
+            if is_time_known:
+                known = [
+                    send_attempt(entrance, "GET", target, f"{prefix}first-{number}")
+                    for number, entrance in enumerate(mesh.endpoints * 2)
+                ]
+                await asyncio.gather(*known)
+            stop = loop.run_in_executor(None, mesh.stop_node, stopped)
+            requests = []
+            for number in range(24):
+                await asyncio.sleep(0.1)
+                sending = send_attempt(stopped, "POST", target, f"{prefix}{number}")
+                requests.append(loop.create_task(sending))
+            answers = await asyncio.gather(*requests, return_exceptions=True)
+            return await stop, answers
+
+        for endpoint in mesh.endpoints_of("shop"):
+            mesh.control_server(endpoint, "behaviour", {"service_seconds": 4})
+        try:
+            code, answers = asyncio.run(send_while_stopping())
+        finally:
+            for endpoint in mesh.endpoints_of("shop"):
+                mesh.control_server(endpoint, "behaviour", {"service_seconds": 0.005})
+            mesh.start_node(stopped)
+            wait_until(lambda: mesh.is_ready(stopped))
+        counts, _ = find_runs(mesh, prefix)
+        assert code == 0
+        statuses = []
+        for number, answer in enumerate(answers):
+            has_run = counts[f"{prefix}{number}"] > 0
+            if isinstance(answer, Exception):
+                assert not has_run, answer
+            else:
+                statuses.append(answer[0])
+                assert answer[0] in ((200, 504) if has_run else (503, 504))
+        assert 200 in statuses
+        assert 503 in statuses
