Show the status of nodes at the edge for attempts by the command line

`ragworthoist status` and `dump` read the operators' address of a node, which nodes at the edge for attempts do not have, and ended with an error. An operator could not see by a command that a server advertises a rate and how many requests reach it.

Both commands now read the state of such a node at its address for metrics, and show its server with state, rate and requests beside the members.

--- a/src/ragworthoist/_commands.py
+++ b/src/ragworthoist/_commands.py
@@ -43,6 +43,8 @@
 GC_OLD_COLLECTIONS = 20
 
 edges = Registry("edge")
+node_readers = Registry("node reader")
+status_printers = Registry("status printer")
 
 _EXIT_CODES = (
     (InputError, EXIT_INPUT),
@@ -287,10 +289,16 @@
     :param settings: TOML file with the settings of that node
     :param as_json: print JSON
     """
-    report = anyio.run(_ask_operators, load_settings(settings), "/status")
+    loaded = load_settings(settings)
+    report = anyio.run(node_readers.get(loaded.edge), loaded, "/status")
     if as_json:
         _print_json(report)
-        return
+    else:
+        status_printers.get(loaded.edge)(report)
+
+
+@status_printers.register("tickets")
+def _print_ticket_status(report):
     print(f"node {report['instance']} of service {report['service']}")
     print(f"configuration version {report['configuration']['version']}\n")
     columns = ("service", "region", "failure_domain", "address", "state")
@@ -300,12 +308,32 @@
     _print_table(columns, ([o[c] for c in columns] for o in report["outcomes"]))
 
 
+@status_printers.register("attempts")
+def _print_attempt_status(report):
+    print(f"node {report['instance']} of service {report['service']}")
+    print(f"configuration version {report['configuration']}\n")
+    server = report["server"]
+    rate = server["advertised_rate"]
+    row = [
+        server["id"] or "-",
+        server["state"],
+        "none" if rate is None else rate,
+        server["requests_per_second"],
+    ]
+    columns = ("server", "state", "advertised_rate", "requests_per_second")
+    _print_table(columns, [row])
+    print()
+    columns = ("service", "failure_domain", "address", "state", "accepting")
+    _print_table(columns, ([m[c] for c in columns] for m in report["members"]))
+
+
 def dump(settings: Path):
     """Print the complete state of one node.
 
     :param settings: TOML file with the settings of that node
     """
-    _print_json(anyio.run(_ask_operators, load_settings(settings), "/state"))
+    loaded = load_settings(settings)
+    _print_json(anyio.run(node_readers.get(loaded.edge), loaded, "/state"))
 
 
 def version():
@@ -369,12 +397,25 @@
         await anyio.sleep(WAIT_POLL_SECONDS)
 
 
+@node_readers.register("tickets")
 async def _ask_operators(settings, path):
+    headers = {"authorization": f"Bearer {settings.operators.token}"}
+    return await _get_json(settings.node.operators, path, headers)
+
+
+@node_readers.register("attempts")
+async def _ask_observer(settings, _path):
+    """Return the state of a node, which includes its status."""
+    if settings.node.metrics is None:
+        raise OperatorsError(settings.node.name, "has no address for metrics")
+    return await _get_json(settings.node.metrics, "/state")
+
+
+async def _get_json(address, path, headers=None):
     import httpx
 
-    host, port = settings.node.operators.pair
+    host, port = address.pair
     address = f"{host}:{port}"
-    headers = {"authorization": f"Bearer {settings.operators.token}"}
     try:
         async with httpx.AsyncClient(timeout=OPERATORS_TIMEOUT_SECONDS) as client:
             response = await client.get(f"http://{address}{path}", headers=headers)
