Send a call to another server before it has waited too long for a rate

While some servers advertised rates, about one request in a hundred with a short time limit was refused after it had waited for nearly all of it, or ended at its time limit at a server that had begun too late, though other servers had room. Among them were requests that may not be repeated.

Cause: a call waited for the rate of a server up to a quarter of its latency target, which may be longer than its time limit, and calls with high draws even longer, as those with lower draws overtook them. They were given up only when no server could serve them in time any more.

--- a/src/ragworthoist/core/admission.py
+++ b/src/ragworthoist/core/admission.py
@@ -29,6 +29,9 @@
 # factor, so that a call is tried again after a few dozen refusals at most.
 QUICKEST_DECAY = 0.95
 UNRANKED_QUEUE_CAPACITY = 1_000_000
+# A call waits for the rate of a server for at most this share of the time after which
+# it could no longer be served.
+MAX_RATE_WAIT_SHARE_OF_SLACK = 0.5
 
 
 class EntryState(IntEnum):
@@ -262,7 +265,8 @@
             return
         ahead = self._count_ahead(call.rank)
         longest = self._longest_wait(call)
-        exceeds_rate = self.rate.estimate_wait(ahead, now) > longest
+        rate_wait = self.rate.estimate_wait(ahead, now)
+        exceeds_rate = rate_wait > self._longest_rate_wait(entry)
         is_too_long = exceeds_rate or self._estimate_slot_wait(ahead) > longest
         self._enqueue(entry)
         if is_too_long:
@@ -330,10 +334,18 @@
 
     def _drop_late(self, kind, now):
         latest = now + self.service_time
-        late = [entry for entry in kind.entries if entry.call.deadline <= latest]
+        is_held_by_rate = self._is_held_by_rate()
+        late = [
+            entry
+            for entry in kind.entries
+            if entry.call.deadline <= latest
+            or (
+                is_held_by_rate and now - entry.arrived > self._longest_rate_wait(entry)
+            )
+        ]
         for entry in late:
             self._remove(entry)
-            self._shed_entry(entry, self._is_held_by_rate())
+            self._shed_entry(entry, is_held_by_rate)
 
     def _has_room(self, now):
         return self.in_flight < self.limiter.limit and self.rate.allows(now)
@@ -395,6 +407,15 @@
         share = self.policy.max_wait_share
         return share * call.latency_target if share else float("inf")
 
+    def _longest_rate_wait(self, entry):
+        """Return how many seconds `entry` may wait for the rate of the server.
+
+        Other servers may have room, so enough time is left to send the call to one.
+        """
+        call = entry.call
+        slack = call.deadline - entry.arrived - self.service_time
+        return min(self._longest_wait(call), MAX_RATE_WAIT_SHARE_OF_SLACK * slack)
+
     def _displace(self, arrival, rank, is_rate_limited):
         """Shed one call of `rank`, which may be `arrival` itself."""
         kind = rank.longest_kind()
--- a/tests/edge/test_rate_limited_servers.py
+++ b/tests/edge/test_rate_limited_servers.py
@@ -139,3 +139,16 @@
     result = play(make_graph(), 14.0, changes=changes)
     times = result.arrival_times["listings", 0]
     assert find_largest_excess(times, rate, 1.0 + SETTLE_SECONDS) <= 0
+
+
+@pytest.mark.parametrize("timeout", [1.0, 1.5, 5.0])
+@pytest.mark.parametrize(
+    "rates", [(8.0, 8.0, 8.0, 8.0, None), (23.2, 11.1, 10.7, 9.8, None)]
+)
+def test_calls_wait_for_a_rate_until_no_server_can_serve_them_in_time(rates, timeout):
+    refund = Kind(
+        "refund", "listings", 0.3, (), 120.0, target=4.0, timeout=timeout, safe=False
+    )
+    graph = CallGraph({"listings": Service(54, speeds=(1.0,) * 5)}, [refund])
+    result = play(graph, 12.0, changes=[(2.0, advertise("listings", *rates))])
+    assert result.statuses["refund", 200] == result.asked["refund"]
