Close the connection of a client that sends framing without end

A client that sent a chunk extension or a trailer without end kept its connection, and the request behind it, open for as long as it went on sending; the idle timeout counts from the last byte. Memory was bounded.

Cause: the bounds of a request count its head and its body only. Bytes after the head that are no body are now counted too, up to 64 KB besides 32 for each chunk, and then answered with 400.

--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -21,6 +21,10 @@
 HELD_BODY_BYTES = 2 * HIGH_WATER_BYTES
 # Unanswered requests on one connection at which reading is paused.
 MAX_PIPELINED = 16
+# Bytes besides the body after the head of one request: chunk framing and trailers.
+MAX_FRAMING_BYTES = 64 * 1024
+# The framing of a chunk with an ordinary extension.
+CHUNK_FRAMING_BYTES = 32
 # Added to the idle timeout of a connection without a request in progress.
 IDLE_MARGIN_SECONDS = 0.5
 # Time to read and drop data after the last response; long enough for what a client
@@ -109,6 +113,7 @@
         self._headers = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._declared_length = 0
         self._expects_continue = False
         self._in_head = False
@@ -155,6 +160,7 @@
         self.last_active = self._loop.time()
         if not self._in_head and self._current is None:
             self._head_started_at = self.last_active
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -166,6 +172,10 @@
             self._head_bytes += len(data)
             if self._head_bytes > self._listener.limits.max_head_bytes:
                 self._refuse(431)
+        elif self._current is None:
+            self._framing_bytes = 0
+        elif self._framing_bytes > MAX_FRAMING_BYTES:
+            self._refuse_body(400)
         self._control_reading()
 
     def pause_writing(self):
@@ -222,6 +232,7 @@
             self._message_started_at,
         )
         self._current = request
+        self._framing_bytes = 0
         if self._declared_length > self._listener.limits.max_body_bytes:
             self._refuse(413)
         elif self._expects_continue and not self._requests:
@@ -233,10 +244,9 @@
         if self._is_refused or request is None:
             return
         self._body_bytes += len(data)
+        self._framing_bytes -= len(data) + CHUNK_FRAMING_BYTES
         if self._body_bytes > self._listener.limits.max_body_bytes:
-            self._refuse(413)
-            if request.pipe is not None:
-                self._abandon(request)
+            self._refuse_body(413)
         elif request.pipe is not None:
             request.pipe.feed(data)
         elif self._body_bytes < HIGH_WATER_BYTES:
@@ -402,6 +412,12 @@
         self._listener.report_refused(status)
         self._loop.create_task(self._write_refusal(status))
 
+    def _refuse_body(self, status):
+        """Refuse a request whose body cannot be accepted."""
+        self._refuse(status)
+        if self._current.pipe is not None:
+            self._abandon(self._current)
+
     async def _write_refusal(self, status):
         """Write the refusal after the responses to the requests before it."""
         while self._requests and not self._is_disconnected:
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -115,6 +115,30 @@
 
         assert asyncio.run(run()) == b"413"
 
+    @pytest.mark.parametrize(
+        "start", [b"1;", b'1;name="', b"0\r\nname: ", b"1\r\nx\r\n1;"]
+    )
+    @pytest.mark.parametrize("body", [b"", b"10\r\n" + bytes(16) + b"\r\n"])
+    def test_bytes_without_end_that_are_no_body_keep_the_connection_open(
+        self, body, start
+    ):
+        head = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+
+        async def run():
+            async with serve() as (_, reader, writer):
+                writer.write(head + body + start)
+                reading = asyncio.create_task(reader.read())
+                for _ in range(400):
+                    if reading.done():
+                        break
+                    writer.write(b"y" * 4096)
+                    await asyncio.sleep(0)
+                return await asyncio.wait_for(reading, HANG_SECONDS / 10)
+
+        answer = asyncio.run(run())
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert answer.count(b"HTTP/1.1") == 1
+
     @pytest.mark.parametrize("behaviour", ["waits", "answers"])
     def test_refusal_of_an_oversized_body_is_the_only_response(self, behaviour):
         chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
