Keep a restarted node from being ready before it has met the fleet

Clients of a node that had just been restarted, in the first seconds of a fleet, were answered 503, no endpoint, for every service but its own.

Cause: a stopping node removed its address record and wrote it again at its next renewal. Its successor took this record of its own address for a sign that it had found the fleet, while the other watchers had not written records yet.

A node that has left writes no record; a record of the own address does not count; watchers without a record write one when a member leaves, which they would have done at the next renewal anyway. test_node_restarted_in_a_young_fleet_joins_without_having_met_it failed before in two of its 32 cases.

Also adds tests of signals in series and of half-read requests at a planned stop, of which none failed.

--- a/src/ragworthoist/core/membership.py
+++ b/src/ragworthoist/core/membership.py
@@ -87,6 +87,8 @@
         Instance id of a peer that has a newer configuration. The caller resets it.
     configuration_versions : dict
         Configuration version that each peer reported last, by instance id.
+    departures : int
+        How many members were seen to leave or to be lost.
     changed_members : list of Member
         Members that were added or whose state has changed. The caller clears it.
     paused_seconds : float
@@ -105,6 +107,7 @@
         self.sync_peer = None
         self.newer_configuration_peer = None
         self.configuration_versions = {}
+        self.departures = 0
         self.changed_members = []
         self.paused_seconds = 0.0
         self.is_suspicion_suspended = False
@@ -461,6 +464,8 @@
 
     def _store(self, member, now):
         known = self.members.get(member.instance)
+        if known is not None and known.state <= MemberState.SUSPECT < member.state:
+            self.departures += 1
         self.members[member.instance] = member
         self._transmissions[member.instance] = 0
         self._digest ^= _digest_of(known) ^ _digest_of(member)
--- a/src/ragworthoist/edge/discovery.py
+++ b/src/ragworthoist/edge/discovery.py
@@ -25,6 +25,7 @@
 # Reading the records again reunites a fleet that was partitioned. It is done rarely,
 # because every read of the store is paid for.
 REREAD_INTERVAL_SECONDS = 30.0
+DEPARTURE_POLL_SECONDS = 0.2
 
 
 class FleetDiscovery:
@@ -54,6 +55,7 @@
         self._is_first_start = fleet.first_start
         self._reachability = reachability
         self._lease = None
+        self._has_left = False
         self.has_joined = False
 
     async def run(self):
@@ -67,10 +69,8 @@
         read_at = self._node.clock()
         while True:
             is_alone = not self._node.membership.peers()
-            await anyio.sleep(
-                self._add_jitter(
-                    ALONE_INTERVAL_SECONDS if is_alone else RENEWAL_INTERVAL_SECONDS
-                )
+            await self._wait_for_renewal(
+                ALONE_INTERVAL_SECONDS if is_alone else RENEWAL_INTERVAL_SECONDS
             )
             if not is_alone and not self._node.membership.is_watcher:
                 continue
@@ -81,7 +81,8 @@
                 await self._read_records()
 
     async def leave(self):
-        """Remove this node's record from the store."""
+        """Remove this node's record from the store, and write none any more."""
+        self._has_left = True
         if self._lease is None:
             return
         try:
@@ -89,6 +90,21 @@
         except StoreError as error:
             self._reachability.record_result(error)
 
+    async def _wait_for_renewal(self, seconds):
+        """Wait for about `seconds`, less if this node should write its first record.
+
+        A member that leaves takes its record with it. If that was the only one, a node
+        that starts then finds nobody.
+        """
+        membership = self._node.membership
+        departures = membership.departures
+        ends_at = self._node.clock() + self._add_jitter(seconds)
+        while (left := ends_at - self._node.clock()) > 0:
+            has_departure = membership.departures != departures
+            if has_departure and self._lease is None and membership.is_watcher:
+                return
+            await anyio.sleep(min(left, DEPARTURE_POLL_SECONDS))
+
     async def _join(self):
         """Find the fleet; return False if the store does not answer."""
         has_answer = False
@@ -114,11 +130,15 @@
         await self._write_record()
 
     async def _write_record(self):
+        if self._has_left:
+            return False
         member = self._node.membership.node
         key = f"{self._prefix}{member.domain}/{member.host}:{member.port}"
         try:
             self._lease = await self._store.grant_lease(RECORD_LEASE_SECONDS)
             await self._store.put(key, msgpack.packb(member.pack()), self._lease)
+            if self._has_left:
+                await self._store.end_lease(self._lease)
         except StoreError as error:
             self._reachability.record_result(error)
             return False
@@ -146,8 +166,10 @@
                     count=1,
                     error=f"{record.key} in the store is malformed: {error!r}",
                 )
-        if members:
-            # Whether they still run is found out by contacting them.
+        own_address = self._node.membership.node.address
+        if any(member.address != own_address for member in members):
+            # Whether they still run is found out by contacting them. A record with the
+            # own address is this node's, or that of an earlier process.
             self.has_joined = True
         return await self._node.contact_members(members)
 
--- /dev/null
+++ b/tests/edge/test_discovery.py
@@ -0,0 +1,74 @@
+"""How nodes find one another by records in the store, on virtual time."""
+
+import asyncio
+
+import anyio
+import pytest
+from edge.test_following import Node, Store
+from fakes import VirtualLoop
+
+DRAIN_SECONDS = 2.6
+
+
+async def stop(node):
+    """Stop `node` as planned; its loops go on until the end of the drain time."""
+    await node.discovery.leave()
+    await asyncio.sleep(DRAIN_SECONDS / 2)
+    await node.send(node.membership.announce_leaving(node.clock()))
+    await asyncio.sleep(DRAIN_SECONDS / 2)
+    await node.send(node.membership.announce_left(node.clock()))
+
+
+async def wait_until_joined(node):
+    while not node.discovery.has_joined:
+        await asyncio.sleep(0.01)
+
+
+async def run_loops(node, process):
+    with process:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node.discovery.run)
+            tasks.start_soon(node.gossip)
+
+
+def play_restart(size, age, pause, domains=3):
+    """Restart the node whose record is the only one; return what it then knows.
+
+    The fleet is `age` seconds old when the node stops, and the new process starts
+    `pause` seconds after the old one has ended.
+    """
+
+    async def run():
+        store = Store()
+        fleet = {}
+        for number in range(size):
+            node = Node(fleet, number, f"d{number % domains}", store, number > 0)
+            fleet[node.address] = node
+        old = next(iter(fleet.values()))
+        old_process = anyio.CancelScope()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_loops, old, old_process)
+            await wait_until_joined(old)
+            for node in fleet.values():
+                if node is not old:
+                    tasks.start_soon(run_loops, node, anyio.CancelScope())
+            await asyncio.sleep(age)
+            await stop(old)
+            old_process.cancel()
+            await asyncio.sleep(pause)
+            new = Node(fleet, 0, "d0", store, first_start=False, run=1)
+            fleet[new.address] = new
+            tasks.start_soon(new.discovery.run)
+            await wait_until_joined(new)
+            tasks.cancel_scope.cancel()
+        return len(new.membership.peers())
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(run())
+
+
+@pytest.mark.parametrize("age", [0.0, 0.3, 0.6, 0.9, 1.2, 1.5, 3.0, 9.0])
+@pytest.mark.parametrize("pause", [0.2, 2.0])
+@pytest.mark.parametrize("size", [4, 12])
+def test_node_restarted_in_a_young_fleet_joins_without_having_met_it(size, pause, age):
+    assert play_restart(size, age, pause) == size - 1
--- a/tests/edge/test_following.py
+++ b/tests/edge/test_following.py
@@ -32,6 +32,7 @@
     def __init__(self):
         self.calls = 0
         self.records = {}
+        self.leases = []
         self.value = None
         self.revision = 10
         self.changed = asyncio.Event()
@@ -64,16 +65,24 @@
 
     async def grant_lease(self, _seconds):
         await self.count_call()
-        return 1
+        self.leases.append(set())
+        return len(self.leases)
 
-    async def put(self, key, value, _lease):
+    async def put(self, key, value, lease):
         await self.count_call()
         self.records[key] = StoredValue(key, value, 1)
+        self.leases[lease - 1].add(key)
 
-    async def keep_lease(self, _lease):
+    async def keep_lease(self, lease):
         # A renewal costs a tenth of a call.
         self.calls += 0.1
-        return True
+        return self.leases[lease - 1] is not None
+
+    async def end_lease(self, lease):
+        await self.count_call()
+        for key in self.leases[lease - 1] or ():
+            self.records.pop(key, None)
+        self.leases[lease - 1] = None
 
 
 class CutStore(Store):
@@ -91,20 +100,24 @@
 class Node:
     """A node of a fleet whose datagrams and streams are function calls."""
 
-    def __init__(self, fleet, number, domain, store):
+    def __init__(self, fleet, number, domain, store, first_start=True, run=0):
         self.fleet = fleet
         self.clock = asyncio.get_running_loop().time
         self.random = random.Random(number)
         self.store = store
         self.is_cut = False
-        member = Member(b"%08d" % number, "s", "r", domain, f"10.0.0.{number}", 1)
+        instance = b"%04d%04d" % (run, number)
+        member = Member(instance, "s", "r", domain, f"10.0.0.{number}", 1)
         self.membership = Membership(member, self.random, self.clock())
         self.configuration = ConfigurationTable(compile=compile_version)
         self.datagrams = self
         self.tasks = None
         reachability = StoreReachability()
         self.discovery = FleetDiscovery(
-            self, store, SimpleNamespace(name="f", first_start=True), reachability
+            self,
+            store,
+            SimpleNamespace(name="f", first_start=first_start),
+            reachability,
         )
         self.follower = ConfigurationFollower(self, store, "routes", reachability)
         self.adopted = {}
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import urllib.request
 from collections import Counter
 
@@ -42,15 +43,31 @@
 
     The attempt carries a wrong `caller-service` header, which the node has to replace.
     """
-    reader, writer = await asyncio.open_connection(
-        "127.0.0.1", endpoint.ports["entrance"]
-    )
-    head = (
+    reader, writer = await connect(endpoint)
+    head = make_head(method, target, attempt_id, len(body), host, client_timeout_ms)
+    writer.write(head + body)
+    answer = await read_answer(reader)
+    writer.close()
+    return answer
+
+
+async def connect(endpoint):
+    """Return the reader and writer of a connection to the entrance of `endpoint`."""
+    return await asyncio.open_connection("127.0.0.1", endpoint.ports["entrance"])
+
+
+def make_head(
+    method, target, attempt_id, length, host=VIRTUAL_HOST, client_timeout_ms=20_000
+):
+    return (
         f"{method} {target} HTTP/1.1\r\nhost: {host}\r\nattempt-id: {attempt_id}\r\n"
         f"deadline-ms: {client_timeout_ms}\r\ncaller-service: false\r\n"
-        f"content-length: {len(body)}\r\n\r\n"
-    )
-    writer.write(head.encode() + body)
+        f"content-length: {length}\r\n\r\n"
+    ).encode()
+
+
+async def read_answer(reader):
+    """Return (status, headers, body) of the next answer."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
     status = int(head[0].split()[1])
@@ -60,7 +77,6 @@
             response_body += (await reader.readexactly(size + 2))[:-2]
     else:
         response_body = await reader.readexactly(int(headers["content-length"]))
-    writer.close()
     return status, headers, response_body
 
 
@@ -295,6 +311,92 @@
         response = asyncio.run(send_attempt(stopped, "GET", "/shop/x", "again"))
         assert response[0] == 200
 
+    @pytest.mark.parametrize(
+        "signals",
+        [
+            [signal.SIGTERM, signal.SIGTERM],
+            [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM],
+            [signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM],
+        ],
+        ids=["term twice", "reload first", "reload while stopping"],
+    )
+    def test_signals_in_series_cut_requests_on_open_connections(self, mesh, signals):
+        stopped = mesh.endpoints_of("stock")[0]
+        prefix = f"series-{len(signals)}-{signals[0]}-"
+        answers = {}
+
+        async def use_connection(name):
+            """Send one request after the other until the node accepts none."""
+            number = 0
+            while True:
+                try:
+                    reader, writer = await connect(stopped)
+                except OSError:
+                    return
+                is_open = True
+                while is_open:
+                    number += 1
+                    attempt_id = f"{prefix}{name}-{number}"
+                    writer.write(make_head("POST", "/order/x", attempt_id, 4) + b"body")
+                    try:
+                        status, headers, _ = await read_answer(reader)
+                    except (OSError, asyncio.IncompleteReadError):
+                        status, headers = None, {"connection": "close"}
+                    answers[attempt_id] = status
+                    is_open = headers.get("connection") != "close"
+                writer.close()
+
+        async def send_signals():
+            clients = [asyncio.create_task(use_connection(name)) for name in range(4)]
+            await asyncio.sleep(0.5)
+            for number in signals:
+                stopped.node.send_signal(number)
+                await asyncio.sleep(0.3)
+            loop = asyncio.get_running_loop()
+            code = await loop.run_in_executor(None, stopped.node.wait, 30)
+            await asyncio.gather(*clients)
+            return code
+
+        code = asyncio.run(send_signals())
+        mesh.start_node(stopped)
+        wait_until(lambda: mesh.is_ready(stopped))
+        assert code == 0
+        counts, _ = find_runs(mesh, prefix)
+        # A request that crosses the close of its connection gets no answer.
+        expected = {200: 1, 503: 0, None: 0}
+        assert set(answers.values()) <= set(expected)
+        assert all(counts[i] == expected[s] for i, s in answers.items())
+        assert sum(status == 200 for status in answers.values()) > 20
+
+    @pytest.mark.parametrize(
+        ("seconds", "statuses"), [(1.0, {200}), (3.2, {503})], ids=["early", "late"]
+    )
+    def test_request_half_read_at_a_planned_stop_is_left_without_an_answer(
+        self, mesh, seconds, statuses
+    ):
+        stopped = mesh.endpoints_of("stock")[0]
+        attempt_id = f"half-{seconds}"
+
+        async def send_in_halves():
+            reader, writer = await connect(stopped)
+            writer.write(make_head("POST", "/order/x", attempt_id, 8) + b"half")
+            await asyncio.sleep(0.2)
+            loop = asyncio.get_running_loop()
+            stop = loop.run_in_executor(None, mesh.stop_node, stopped)
+            await asyncio.sleep(seconds)
+            writer.write(b"rest")
+            answer = await read_answer(reader)
+            writer.close()
+            return answer[0], await stop
+
+        try:
+            status, code = asyncio.run(send_in_halves())
+        finally:
+            mesh.start_node(stopped)
+            wait_until(lambda: mesh.is_ready(stopped))
+        assert (status in statuses, code) == (True, 0)
+        assert find_runs(mesh, attempt_id)[0][attempt_id] == (status == 200)
+
     @pytest.mark.parametrize("target", ["/shop/x", "/order/x"])
     @pytest.mark.parametrize("is_time_known", [True, False])
     def test_request_that_comes_late_in_the_grace_is_cut_without_an_answer(
