Keep the notice of a server when its node passes on an error

A server that is leaving or advertises a rate could get calls that it is to be spared, if its node was restarted and its first answer was an error without an attempt id: the node does not read such an answer as the server's, sends no notice with it, and the caller dropped the one that it had.

Cause: any completed answer without a notice was taken to say that there is no need any more. Only a success proves that the node has read an answer of its server.

The new case of test_what_an_answer_says_of_its_server_is_sent_back_with_later_calls failed before.

--- a/src/ragworthoist/edge/dispatching.py
+++ b/src/ragworthoist/edge/dispatching.py
@@ -191,8 +191,10 @@
             node.placement.eject_unreachable(endpoint.instance, now)
         else:
             self._endpoint_levels.update(endpoint.instance, dict(answer.levels), now)
-            # A node that has just started may refuse a call before it knows its server.
-            if answer.notice is not None or answer.outcome is Outcome.COMPLETED:
+            # A node that has just started may refuse a call, or pass on an error that
+            # names no attempt, before it knows what its server has said.
+            is_success = answer.outcome is Outcome.COMPLETED and answer.status < 400
+            if answer.notice is not None or is_success:
                 self._notices.update(endpoint.address, answer.notice, now)
         if answer.outcome is Outcome.COMPLETED or answer.reason in _EXECUTION_FAILURES:
             failed = (
--- a/tests/edge/test_attempts.py
+++ b/tests/edge/test_attempts.py
@@ -230,8 +230,10 @@
 @pytest.mark.parametrize(
     ("second", "third_notice"),
     [
-        # A completed answer without a notice says that there is no need any more.
+        # A success without a notice says that there is no need any more.
         (ok(), None),
+        # The node of an error may not have read what its server says of itself.
+        (Answer(Outcome.COMPLETED, Reason.ANSWERED, 500), NOTICE),
         # A node that has just been restarted may refuse before it knows its server.
         (Answer(Outcome.NOT_RUN, Reason.SERVER_UNVERIFIED), NOTICE),
         (Answer(Outcome.UNKNOWN, Reason.PEER_LOST), NOTICE),
