Show what reaches a server from its first advertised rate on

The two series and the two fields now appear with the first rate that is in force, and stay until the process ends, so that the requests before and after the end of a rate can be compared.

--- a/src/ragworthoist/_commands.py
+++ b/src/ragworthoist/_commands.py
@@ -313,14 +313,12 @@
     print(f"node {report['instance']} of service {report['service']}")
     print(f"configuration version {report['configuration']}\n")
     server = report["server"]
-    rate = server["advertised_rate"]
-    row = [
-        server["id"] or "-",
-        server["state"],
-        "none" if rate is None else rate,
-        server["requests_per_second"],
-    ]
-    columns = ("server", "state", "advertised_rate", "requests_per_second")
+    columns = ("server", "state")
+    row = [server["id"] or "-", server["state"]]
+    if "advertised_rate" in server:
+        columns += ("advertised_rate", "requests_per_second")
+        rate = server["advertised_rate"]
+        row += ["none" if rate is None else rate, server["requests_per_second"]]
     _print_table(columns, [row])
     print()
     columns = ("service", "failure_domain", "address", "state", "accepting")
--- a/src/ragworthoist/core/advertised_rate.py
+++ b/src/ragworthoist/core/advertised_rate.py
@@ -21,6 +21,8 @@
     ----------
     rate : float or None
         Requests a second, None while the server advertises none.
+    has_been_used : bool
+        Whether a rate has been in force since the node started.
 
     Examples
     --------
@@ -35,6 +37,7 @@
 
     def __init__(self):
         self.rate = None
+        self.has_been_used = False
         self._advertised_at = 0.0
         self._tokens = 0.0
         self._refilled_at = 0.0
@@ -98,6 +101,7 @@
             self._refilled_at = now
         self._refill(now)
         self.rate = rate
+        self.has_been_used = True
         return True
 
     @property
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -53,15 +53,7 @@
         "uptime_seconds": round(now - node.started, 3),
         "configuration": node.configuration.version,
         "configuration_refused": node.configuration.last_refusal,
-        "server": {
-            "id": node.lifecycle.instance,
-            "state": node.lifecycle.state.value,
-            "sequence": node.lifecycle.sequence,
-            "slots": node.lifecycle.slots,
-            "heard_seconds_ago": round(now - node.lifecycle.last_seen, 3),
-            "advertised_rate": node.forwarder.advertised_rate.rate,
-            "requests_per_second": round(node.forwarder.arrivals.rate(now), 2),
-        },
+        "server": _dump_server(node, now),
         "admission": {
             "limit": admission.limiter.limit,
             "in_flight": admission.in_flight,
@@ -86,9 +78,25 @@
     }
 
 
+def _dump_server(node, now):
+    lifecycle = node.lifecycle
+    state = {
+        "id": lifecycle.instance,
+        "state": lifecycle.state.value,
+        "sequence": lifecycle.sequence,
+        "slots": lifecycle.slots,
+        "heard_seconds_ago": round(now - lifecycle.last_seen, 3),
+    }
+    advertised = node.forwarder.advertised_rate
+    if advertised.has_been_used:
+        state["advertised_rate"] = advertised.rate
+        state["requests_per_second"] = round(node.forwarder.arrivals.rate(now), 2)
+    return state
+
+
 def collect_edge_metrics(node):
     """Return an aioprometheus registry filled from the node's tables."""
-    from aioprometheus import Counter, Gauge
+    from aioprometheus import Counter
 
     forwarder = node.forwarder
     admission = forwarder.admission
@@ -104,6 +112,16 @@
     for kind, count in node.store.calls.items():
         store_calls.set({"kind": kind}, count)
     connections_opened.set({}, node.server_client.connections_opened)
+    if forwarder.advertised_rate.has_been_used:
+        _add_rate_metrics(registry, node)
+    return registry
+
+
+def _add_rate_metrics(registry, node):
+    """Add what reaches the server, and the rate while it advertises one."""
+    from aioprometheus import Counter, Gauge
+
+    forwarder = node.forwarder
     labels = {"server": node.lifecycle.instance}
     requests = Counter(
         "ragworthoist_server_requests_total",
@@ -124,4 +142,3 @@
             registry=registry,
         )
         advertised_rate.set(labels, forwarder.advertised_rate.rate)
-    return registry
--- a/tests/edge/test_observing.py
+++ b/tests/edge/test_observing.py
@@ -26,7 +26,7 @@
         self.answer = (status, body)
 
 
-def make_node():
+def make_node(*rates):
     outcomes = OutcomeTable()
     outcomes.record("order", 0, Answer(Outcome.COMPLETED, Reason.ANSWERED, 200), 0.03)
     outcomes.record("order", 0, Answer(Outcome.NOT_RUN, Reason.SHED), 0.001)
@@ -34,7 +34,8 @@
     for _ in range(6):
         arrivals.record(9.0)
     advertised_rate = AdvertisedRate()
-    advertised_rate.record_answer(12.8, 8.0, 9.0)
+    for rate in rates:
+        advertised_rate.record_answer(rate, 9.5, 9.0)
     return SimpleNamespace(
         clock=lambda: 10.0,
         lifecycle=SimpleNamespace(instance="i-1"),
@@ -52,9 +53,9 @@
     )
 
 
-def get_answer(target, method="answer_metrics"):
+def get_answer(target, method="answer_metrics", rates=(12.8,)):
     request = FakeRequest(target)
-    asyncio.run(getattr(Observer(make_node()), method)(request))
+    asyncio.run(getattr(Observer(make_node(*rates)), method)(request))
     return request.answer
 
 
@@ -79,6 +80,25 @@
     assert line in body.decode().splitlines()
 
 
+@pytest.mark.parametrize(
+    ("rates", "shown"),
+    [
+        ((), set()),
+        ((12.8,), {"requests_total", "requests_per_second", "advertised_rate"}),
+        # What reached the server stays comparable after the rate has ended.
+        ((12.8, None), {"requests_total", "requests_per_second"}),
+    ],
+)
+def test_metrics_of_the_rate_appear_with_the_first_one(rates, shown):
+    _, body = get_answer(b"/metrics", rates=rates)
+    names = {
+        line.split()[2].removeprefix("ragworthoist_server_")
+        for line in body.decode().splitlines()
+        if line.startswith("# TYPE ragworthoist_server_")
+    }
+    assert names - {"connections_total"} == shown
+
+
 def test_unknown_path_is_not_found():
     assert get_answer(b"/other")[0] == 404
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -107,6 +107,7 @@
         [
             (["status"], 12.8, ["i-5840", "ready", "12.8", "30.25"]),
             (["status"], None, ["i-5840", "ready", "none", "30.25"]),
+            (["status"], "never", ["i-5840", "ready"]),
             (["status", "--as-json"], 12.8, ['"advertised_rate": 12.8']),
             (["dump"], 12.8, ['"advertised_rate": 12.8']),
         ],
@@ -119,12 +120,9 @@
             "state": "alive",
             "accepting": True,
         }
-        server = {
-            "id": "i-5840",
-            "state": "ready",
-            "advertised_rate": rate,
-            "requests_per_second": 30.25,
-        }
+        server = {"id": "i-5840", "state": "ready"}
+        if rate != "never":
+            server |= {"advertised_rate": rate, "requests_per_second": 30.25}
         state = {
             "instance": "ab12",
             "service": "stock",
@@ -139,6 +137,7 @@
             assert run_command([command[0], str(path), *command[1:]]) == 0
         output = capsys.readouterr().out
         assert all(text in output for text in shown)
+        assert ("advertised_rate" in output) is (rate != "never")
 
     def test_node_without_an_address_for_metrics_is_an_error(self, tmp_path, capsys):
         path = tmp_path / "node.toml"
