Add a soak of the edge for attempts under overlapping disturbances

Nothing played series of them on real processes with clients that use open connections to the end, which the users ask for.

The stand-in server can advertise a rate and say that it is leaving.

--- a/src/ragworthoist_lab/__main__.py
+++ b/src/ragworthoist_lab/__main__.py
@@ -9,6 +9,7 @@
 from ragworthoist_lab.mesh_store import run_mesh_store
 from ragworthoist_lab.partition import run_partitionable_node
 from ragworthoist_lab.server import run_server
+from ragworthoist_lab.soak import soak
 from ragworthoist_lab.store import run_store
 
 
@@ -21,6 +22,7 @@
         "mesh-server": run_mesh_server,
         "node": run_partitionable_node,
         "demonstrate": demonstrate,
+        "soak": soak,
     }
     sys.exit(defopt.run(commands, cli_options="has_default"))
 
--- a/src/ragworthoist_lab/mesh.py
+++ b/src/ragworthoist_lab/mesh.py
@@ -39,6 +39,11 @@
     server: subprocess.Popen = None
     node: subprocess.Popen = None
 
+    @property
+    def journal_path(self):
+        """File with the arrivals and runs at the server, over all its processes."""
+        return self.settings_path.with_suffix(".journal")
+
     @property
     def log(self):
         """Events in the node's log, oldest first."""
@@ -116,6 +121,15 @@
             for record in self.control_server(endpoint, "records")
         ]
 
+    def read_journal(self):
+        """Return the arrivals and runs at all servers, those that ended included."""
+        return [
+            json.loads(line)
+            for endpoint in self.endpoints
+            if endpoint.journal_path.exists()
+            for line in endpoint.journal_path.read_text().splitlines()
+        ]
+
     def configure(self, rules):
         """Write the next version of the configuration to the store.
 
@@ -166,6 +180,17 @@
         """Endpoints whose nodes are running."""
         return [e for e in self.endpoints if e.node and e.node.poll() is None]
 
+    def start_server(self, endpoint):
+        """Start the backend server of `endpoint`, as a new process with a new id."""
+        endpoint.server = start_lab_process(
+            "mesh-server",
+            endpoint.service,
+            str(endpoint.ports["server"]),
+            str(endpoint.ports["reports"]),
+            "--journal",
+            str(endpoint.journal_path),
+        )
+
     def start_node(self, endpoint):
         """Start the node of `endpoint`."""
         command = [
@@ -213,12 +238,7 @@
                 )
                 self.endpoints.append(endpoint)
                 self._write_settings(endpoint)
-                endpoint.server = start_lab_process(
-                    "mesh-server",
-                    service,
-                    str(endpoint_ports["server"]),
-                    str(endpoint_ports["reports"]),
-                )
+                self.start_server(endpoint)
         for endpoint in self.endpoints:
             wait_for_port(endpoint.ports["server"], endpoint.server)
             self.start_node(endpoint)
--- a/src/ragworthoist_lab/mesh_server.py
+++ b/src/ragworthoist_lab/mesh_server.py
@@ -2,13 +2,16 @@
 
 It records every run by attempt id. `POST /.lab/behaviour` changes single fields of
 its behaviour, `GET /.lab/records` returns the runs, and `GET /.lab/dropped` the number
-of requests that it will never answer.
+of requests that it will never answer. Arrivals and runs are also written to a journal,
+which outlives the process.
 """
 
+import json
 import os
 import time
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import aiohttp
 import anyio
@@ -40,12 +43,15 @@
         Every request whose number is a multiple of this runs, but its response ends
         after the headers; 0 for none.
     leaving : bool
-        Whether the server reports that it is draining and fails its health check.
+        Whether the server reports that it is draining, says so in its answers, and
+        fails its health check.
     silent : bool
         Whether the server sends no heartbeats.
     room : int
         Number of requests that the server can hold, running or queued. It never
         answers one beyond that, nor any other on its connection; 0 for no bound.
+    advertised_rate : float or None
+        Requests a second that the server advertises in its answers, None for none.
     """
 
     service_seconds: float = 0.005
@@ -54,6 +60,7 @@
     leaving: bool = False
     silent: bool = False
     room: int = 0
+    advertised_rate: float | None = None
 
 
 @dataclass(slots=True)
@@ -73,12 +80,15 @@
     slots : int
         Number of slots reported to the node; the stand-in runs any number of
         requests at the same time.
+    journal : file object, optional
+        Gets a line of JSON for each arrival and each run, as it happens.
     """
 
     service: str
     address: str
     reports_url: str
     slots: int = 8
+    journal: object = None
     instance: str = field(default_factory=lambda: f"i-{os.urandom(4).hex()}")
     start_time_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     behaviour: MeshBehaviour = field(default_factory=MeshBehaviour)
@@ -98,9 +108,10 @@
             await self._control(path, receive, send)
             return
         if path == "/health":
-            headers = [(b"instance-id", self.instance.encode())]
-            await respond(send, 503 if self.behaviour.leaving else 200, headers)
+            status = 503 if self.behaviour.leaving else 200
+            await respond(send, status, self._make_notices())
             return
+        self._write_journal("arrival", scope)
         body = await read_body(receive, MAX_BODY_BYTES)
         if self.behaviour.room and self.held_count >= self.behaviour.room:
             self.dropped_count += 1
@@ -114,10 +125,7 @@
     async def _serve(self, scope, body, send):
         headers = scope["headers"]
         attempt_id = find_header(headers, b"attempt-id")
-        common_headers = [
-            (b"attempt-id", attempt_id),
-            (b"instance-id", self.instance.encode()),
-        ]
+        common_headers = [(b"attempt-id", attempt_id), *self._make_notices()]
         if find_header(headers, b"expect-instance").decode() != self.instance:
             await respond(send, 421, common_headers)
             return
@@ -129,6 +137,7 @@
         ):
             await respond(send, 503, [*common_headers, (b"not-executed", b"1")])
             return
+        self._write_journal("run", scope)
         self.records.append(
             {
                 "attempt": attempt_id.decode(),
@@ -161,6 +170,30 @@
             send, 200, [*common_headers, (b"server-seal", b"lab")], body[::-1]
         )
 
+    def _make_notices(self):
+        """Return the headers that say something of the server itself."""
+        headers = [(b"instance-id", self.instance.encode())]
+        if self.behaviour.advertised_rate is not None:
+            rate = b"%.2f" % self.behaviour.advertised_rate
+            headers.append((b"server-limit", rate))
+        if self.behaviour.leaving:
+            headers.append((b"server-leaving", b"1"))
+        return headers
+
+    def _write_journal(self, event, scope):
+        if self.journal is None:
+            return
+        entry = {
+            "event": event,
+            "at": time.monotonic(),
+            "attempt": find_header(scope["headers"], b"attempt-id").decode(),
+            "server": self.instance,
+            "service": self.service,
+        }
+        self.journal.write(json.dumps(entry) + "\n")
+        # The process may be killed at any time.
+        self.journal.flush()
+
     async def _control(self, path, receive, send):
         if path == "/.lab/records":
             await respond_json(send, self.records)
@@ -170,7 +203,8 @@
             return
         for name, value in (await read_json(receive)).items():
             setattr(self.behaviour, name, value)
-        await respond_json(send, {"acknowledged": self.acknowledged_sequence})
+        reply = {"acknowledged": self.acknowledged_sequence, "server": self.instance}
+        await respond_json(send, reply)
 
     async def send_heartbeats(self):
         """Send heartbeats to the node until cancelled."""
@@ -228,14 +262,24 @@
             tasks.cancel_scope.cancel()
 
 
-def run_mesh_server(service: str, port: int, reports_port: int, *, slots: int = 8):
+def run_mesh_server(
+    service: str,
+    port: int,
+    reports_port: int,
+    *,
+    slots: int = 8,
+    journal: Path | None = None,
+):
     """Run the stand-in for a backend server of the platform on loopback.
 
     :param service: name of the service
     :param port: port to listen on
     :param reports_port: port at which the node accepts heartbeats
     :param slots: number of slots reported to the node
+    :param journal: file to which arrivals and runs are appended
     """
     reports_url = f"http://127.0.0.1:{reports_port}"
-    server = MeshServer(service, f"127.0.0.1:{port}", reports_url, slots)
-    run_application(_HeartbeatLifespan(server), port, lifespan="on")
+    with ExitStack() as stack:
+        file = journal and stack.enter_context(journal.open("a"))
+        server = MeshServer(service, f"127.0.0.1:{port}", reports_url, slots, file)
+        run_application(_HeartbeatLifespan(server), port, lifespan="on")
