Take incomplete answers of the platform's store for store errors

Operators saw a failed task (event 900) in place of a store that is away (event 310) when the store cut an answer of more than 64 KB, or left a field out; clients saw nothing, as the task is started again a moment later.

Cause: a long body is read as a pipe, whose cut is not an error of the exchange, and fields of answers were read unchecked. The answers are now models, as other input from outside is.

The client of etcd has the same cause and is not changed here.

--- a/src/ragworthoist/platform/store.py
+++ b/src/ragworthoist/platform/store.py
@@ -5,8 +5,10 @@
 from urllib.parse import quote, urlsplit
 
 import anyio
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ragworthoist.exceptions import (
+    BodyCutError,
     ExchangeError,
     HistoryGoneError,
     StoreResponseError,
@@ -25,6 +27,33 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+
+class _Item(_Model):
+    # An event of a watch has no value if the key was deleted.
+    key: str
+    revision: int
+    value: str | None = None
+
+
+class _Range(_Model):
+    items: list[_Item]
+    has_more: bool = Field(default=False, alias="hasMore")
+    revision: int = Field(alias="at")
+
+
+class _Events(_Model):
+    events: list[_Item] = []
+    # The revision up to which the store has searched for events.
+    revision: int = Field(alias="at")
+
+
+class _Lease(_Model):
+    lease_id: int | str = Field(alias="leaseId")
+
+
 @stores.register("platform")
 class PlatformStore:
     """A client of the platform's store.
@@ -60,10 +89,10 @@
 
     async def get(self, key):
         """Return the `StoredValue` under `key`, None if there is none."""
-        status, result = await self._call("get", "GET", f"/kv-key?key={quote(key)}")
+        status, content = await self._call("get", "GET", f"/kv-key?key={quote(key)}")
         if status == 404:
             return None
-        return _decode_item(result)
+        return _decode_item(_parse(_Item, "get", status, content))
 
     async def read(self, key):
         """Return (`StoredValue` under `key` or None, revision of the store).
@@ -71,9 +100,10 @@
         A watch from the revision after that one misses no change of `key`.
         """
         path = f"/kv-range?pathPrefix={quote(key)}"
-        _, result = await self._call("read", "GET", path)
-        found = [item for item in result.get("items", []) if item.get("key") == key]
-        return _decode_item(found[0]) if found else None, result["at"]
+        status, content = await self._call("read", "GET", path)
+        result = _parse(_Range, "read", status, content)
+        found = [item for item in result.items if item.key == key]
+        return _decode_item(found[0]) if found else None, result.revision
 
     async def list(self, prefix):
         """Return the values of all keys that start with `prefix`."""
@@ -83,11 +113,12 @@
             path = f"/kv-range?pathPrefix={quote(prefix)}"
             if after:
                 path += f"&after={quote(after)}"
-            _, result = await self._call("list", "GET", path)
-            items += [_decode_item(item) for item in result.get("items", [])]
-            if not result.get("hasMore") or not result["items"]:
+            status, content = await self._call("list", "GET", path)
+            page = _parse(_Range, "list", status, content)
+            items += [_decode_item(item) for item in page.items]
+            if not page.has_more or not page.items:
                 break
-            after = result["items"][-1]["key"]
+            after = page.items[-1].key
         return items
 
     async def put(self, key, value, lease):
@@ -105,8 +136,8 @@
     async def grant_lease(self, seconds):
         """Create a lease of `seconds` and return its id."""
         body = {"ttlMs": int(seconds * 1000)}
-        _, result = await self._call("lease", "POST", "/kv-lease", body)
-        return result["leaseId"]
+        status, content = await self._call("lease", "POST", "/kv-lease", body)
+        return _parse(_Lease, "lease", status, content).lease_id
 
     async def keep_lease(self, lease):
         """Renew `lease`; return False if it has expired."""
@@ -124,16 +155,17 @@
             path = f"/kv-watch?pathPrefix={quote(key)}&after={after}"
             path += f"&waitMs={WATCH_WAIT_MS}"
             timeout = WATCH_WAIT_MS / 1000 + WATCH_GRACE_SECONDS
-            status, result = await self._call("watch", "GET", path, timeout=timeout)
+            status, content = await self._call("watch", "GET", path, timeout=timeout)
             if status == 410:
                 raise HistoryGoneError(after)
-            for event in result.get("events", []):
-                if event.get("key") == key and "value" in event:
+            result = _parse(_Events, "watch", status, content)
+            for event in result.events:
+                if event.key == key and event.value is not None:
                     yield _decode_item(event)
-            # "at" is the revision up to which the store has searched for events.
-            after = result["at"]
+            after = result.revision
 
     async def _call(self, operation, method, path, body=None, timeout=None):
+        """Return the status and the body of the answer to one call."""
         self.calls[operation] = self.calls.get(operation, 0) + 1
         raw = b"" if body is None else json.dumps(body).encode()
         head = b"%s %s HTTP/1.1\r\nhost: %s\r\n" % (
@@ -153,7 +185,7 @@
         except TimeoutError:
             self._client.close_stale_connections()
             raise StoreUnavailableError(operation, "no answer in time") from None
-        except ExchangeError as error:
+        except (ExchangeError, BodyCutError) as error:
             raise StoreUnavailableError(operation, str(error)) from None
         status = response.status
         if content is None:
@@ -162,10 +194,7 @@
             raise StoreUnavailableError(operation, f"status {status}")
         if status not in (200, 404, 410, 412):
             raise StoreResponseError(operation, status)
-        try:
-            return status, json.loads(content) if content else {}
-        except ValueError:
-            raise StoreResponseError(operation, status) from None
+        return status, content
 
 
 async def _read_all(pipe):
@@ -180,9 +209,17 @@
     return b"".join(parts)
 
 
+def _parse(model, operation, status, content):
+    """Return the `model` in the body `content` of an answer to `operation`."""
+    try:
+        return model.model_validate_json(content)
+    except ValidationError:
+        raise StoreResponseError(operation, status) from None
+
+
 def _decode_item(item):
     try:
-        value = base64.b64decode(item.get("value", ""))
-        return StoredValue(item["key"], value, int(item["revision"]))
-    except (KeyError, TypeError, ValueError):
+        value = base64.b64decode(item.value or "")
+    except ValueError:
         raise StoreResponseError("decode", 200) from None
+    return StoredValue(item.key, value, item.revision)
