Follow rates by server in the soak, not by disturbance

The trace shows that the soak itself was wrong: an earlier disturbance at the same place, whose server had been replaced meanwhile, ended and told the new server to advertise nothing, while the check took the rate for in force.

Each change of a rate is now recorded with the server that got it, and the check follows those. It is stricter than before: a server that was told several rates is checked as well.

--- a/src/ragworthoist_lab/disturbances.py
+++ b/src/ragworthoist_lab/disturbances.py
@@ -74,6 +74,19 @@
         return self.start <= end and start <= self.end
 
 
+@dataclass(frozen=True, slots=True)
+class RateChange:
+    """A server was told to advertise `rate`, in requests a second, or none.
+
+    It was told between the times `sent_at` and `confirmed_at`.
+    """
+
+    server: str
+    rate: float | None
+    sent_at: float
+    confirmed_at: float
+
+
 def register_disturbance(name, weight, seconds):
     """Return a decorator that registers a `DisturbanceKind` under `name`."""
 
@@ -122,12 +135,15 @@
         What has disturbed the fleet, oldest first.
     moves : list of (float, str)
         When a configuration was confirmed, and the service of its moved route.
+    rates : list of RateChange
+        What servers were told to advertise.
     """
 
     def __init__(self, mesh, rules):
         self.mesh = mesh
         self.spans = []
         self.moves = []
+        self.rates = []
         self._rules = rules
 
     async def disturb(self, disturbance):
@@ -155,6 +171,17 @@
             return ""
         return reply["server"]
 
+    async def set_rate(self, endpoint, rate):
+        """Let a server advertise `rate`, None for none.
+
+        It may be another server process than the one of an earlier change.
+        """
+        sent_at = time.monotonic()
+        server = await self.set_behaviour(endpoint, advertised_rate=rate)
+        if server:
+            change = RateChange(server, rate, sent_at, time.monotonic())
+            self.rates.append(change)
+
     async def await_exit(self, process, seconds):
         """Return whether `process` has exited within `seconds`."""
         with anyio.move_on_after(seconds):
@@ -232,13 +259,9 @@
 @register_disturbance("advertise", weight=2.5, seconds=(6.0, 12.0))
 async def advertise_rate(fleet, endpoint, disturbance):
     """Let a server advertise a rate, at times one after another."""
-    rate = round(1.0 + 9.0 * disturbance.amount, 2)
-    server = await fleet.set_behaviour(endpoint, advertised_rate=rate)
-    since = time.monotonic()
+    await fleet.set_rate(endpoint, round(1.0 + 9.0 * disturbance.amount, 2))
     await anyio.sleep(disturbance.seconds)
-    until = time.monotonic()
-    await fleet.set_behaviour(endpoint, advertised_rate=None)
-    return {"server": server, "rate": rate, "since": since, "until": until}
+    await fleet.set_rate(endpoint, None)
 
 
 @register_disturbance("leave", weight=2.0, seconds=(3.0, 6.0))
--- a/src/ragworthoist_lab/promises.py
+++ b/src/ragworthoist_lab/promises.py
@@ -44,6 +44,8 @@
         The disturbances.
     moves : list of (float, str)
         When a configuration was confirmed, and the service of its moved route.
+    rates : list of RateChange
+        What servers were told to advertise.
     calm_since : float
         When all disturbances had ended and the fleet had had time to settle.
     """
@@ -52,6 +54,7 @@
     journal: list
     spans: list
     moves: list
+    rates: list
     calm_since: float
 
     def count_runs(self):
@@ -131,17 +134,12 @@
 def check_rates(log):
     """Yield servers that got more than the bound allows from nodes that knew it."""
     results = {result.attempt: result for result in log.results}
-    for span in log.spans:
-        if span.kind != "advertise" or not span.values.get("server"):
-            continue
-        server, rate = span.values["server"], span.values["rate"]
-        since, until = span.values["since"], span.values["until"]
-        if any(
-            other is not span and other.values.get("server") == server
-            for other in log.spans
-        ):
-            # The bound is not defined while several rates follow one another.
+    for change in log.rates:
+        if change.rate is None:
             continue
+        server, rate, since = change.server, change.rate, change.confirmed_at
+        later = [c.sent_at for c in log.rates if c.server == server]
+        until = min((t for t in later if t > since), default=float("inf"))
         known_since = _find_first_notices(log, "rate", server, since)
         times = sorted(
             entry["at"]
--- a/src/ragworthoist_lab/soak.py
+++ b/src/ragworthoist_lab/soak.py
@@ -86,10 +86,13 @@
         calm_since = anyio.run(_disturb, fleet, clients, schedule, seconds)
         results = [result for client in clients for result in client.results]
         journal = mesh.read_journal()
-        log = SoakLog(results, journal, fleet.spans, fleet.moves, calm_since)
+        log = SoakLog(
+            results, journal, fleet.spans, fleet.moves, fleet.rates, calm_since
+        )
         violations = find_violations(log)
         if violations and keep is not None:
-            _keep_logs(mesh, keep / str(seed), fleet.spans, violations)
+            found = [*violations, *fleet.spans, *fleet.rates]
+            _keep_logs(mesh, keep / str(seed), found)
     return log, violations
 
 
@@ -123,12 +126,11 @@
         print(f"{max(0.0, left - PROGRESS_SECONDS):.0f} s left, {count} attempts")
 
 
-def _keep_logs(mesh, directory, spans, violations):
+def _keep_logs(mesh, directory, found):
+    """Copy the logs of a fleet to `directory`, beside the lines of `found`."""
     directory.mkdir(parents=True, exist_ok=True)
     for endpoint in mesh.endpoints:
         for path in (endpoint.settings_path.with_suffix(".log"), endpoint.journal_path):
             if path.exists():
                 shutil.copy(path, directory)
-    lines = [f"{violation}\n" for violation in violations]
-    lines += [f"{span}\n" for span in spans]
-    (directory / "soak.txt").write_text("".join(lines))
+    (directory / "soak.txt").write_text("".join(f"{line}\n" for line in found))
--- a/tests/lab/test_promises.py
+++ b/tests/lab/test_promises.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ragworthoist_lab.attempt_clients import AttemptResult
-from ragworthoist_lab.disturbances import Span
+from ragworthoist_lab.disturbances import RateChange, Span
 from ragworthoist_lab.promises import SoakLog, find_violations, promises
 
 CALM_SINCE = 100.0
@@ -30,9 +30,7 @@
     ]
 
 
-def advertise(rate, until=40.0):
-    values = {"server": "i-1", "rate": rate, "since": 10.0, "until": until}
-    return Span("advertise", 0, 10.0, until, values)
+RATES = [RateChange("i-1", 2.0, 9.9, 10.0)]
 
 
 def arrive_often(count):
@@ -73,10 +71,10 @@
         ),
         ([make_result(status=0)], arrive(), [Span("kill", 1, 9.0, 12.0)], "answered"),
         ([], [], [Span("stop", 0, 9.0, 16.0, {"has_exited": False})], "planned stop"),
-        (*arrive_often(17), [advertise(2.0)], ""),
-        (*arrive_often(18), [advertise(2.0)], "no more than the rate"),
-        (*arrive_often(18), [advertise(2.0), Span("stop", 0, 12.0, 15.0)], ""),
-        (*arrive_often(18), [advertise(2.0, until=20.0)], ""),
+        (*arrive_often(17), [], ""),
+        (*arrive_often(18), [], "no more than the rate"),
+        (*arrive_often(18), [Span("stop", 0, 12.0, 15.0)], ""),
+        (*arrive_often(18), [Span("stop", 1, 12.0, 15.0)], "no more than the rate"),
         (
             [make_result("first", notices=LEAVING), make_result("late", 12.2)],
             arrive("late", 12.3),
@@ -107,12 +105,28 @@
     ],
 )
 def test_violations(results, journal, spans, broken):
-    log = SoakLog(CALM[0] + results, CALM[1] + journal, spans, MOVES, CALM_SINCE)
+    log = SoakLog(CALM[0] + results, CALM[1] + journal, spans, MOVES, RATES, CALM_SINCE)
     violations = find_violations(log)
     assert len(violations) == bool(broken)
     assert all(broken in violation for violation in violations)
 
 
+@pytest.mark.parametrize(
+    ("change", "is_broken"),
+    [
+        (RateChange("i-1", None, 20.0, 20.1), False),
+        (RateChange("i-1", 60.0, 20.0, 20.1), False),
+        (RateChange("i-2", None, 20.0, 20.1), True),
+        (RateChange("i-1", None, 22.0, 22.1), True),
+    ],
+)
+def test_a_rate_is_kept_until_the_same_server_is_told_otherwise(change, is_broken):
+    results, journal = arrive_often(18)
+    rates = [*RATES, change]
+    log = SoakLog(CALM[0] + results, CALM[1] + journal, [], MOVES, rates, CALM_SINCE)
+    assert len(find_violations(log)) == is_broken
+
+
 def test_a_soak_without_calm_requests_is_a_violation():
-    assert len(find_violations(SoakLog([], [], [], [], CALM_SINCE))) == 1
+    assert len(find_violations(SoakLog([], [], [], [], [], CALM_SINCE))) == 1
     assert len(promises.names()) == 9
