--- a/src/ragworthoist/_store_sync.py
+++ b/src/ragworthoist/_store_sync.py
@@ -148,7 +148,8 @@
                 await self._adopt(stored)
                 revision = stored.revision
             async for value in self._store.watch(self._key, revision + 1):
-                await self._adopt(value)
+                if value is not None:
+                    await self._adopt(value)
         except StoreError as error:
             self._reachability.record_result(error)
         await anyio.sleep(RETRY_DELAY_SECONDS)
--- a/src/ragworthoist/core/watching.py
+++ b/src/ragworthoist/core/watching.py
@@ -24,6 +24,11 @@
         Time in seconds at which the node starts. It is assumed to have just heard a
         watcher, because it reads the configuration at its start anyway.
 
+    Attributes
+    ----------
+    heard_at : float
+        When a watcher of the failure domain was last heard.
+
     Examples
     --------
     >>> duty = WatchDuty(now=0.0)
@@ -35,18 +40,18 @@
     """
 
     def __init__(self, now):
-        self._heard_at = now
+        self.heard_at = now
         self._watch_until = float("-inf")
 
     def record_heartbeat(self, now):
         """Record that a watcher of this node's failure domain has a working watch."""
-        self._heard_at = now
+        self.heard_at = now
 
     def evaluate(self, now, is_watcher):
         """Return whether the node has to watch at `now`.
 
         `is_watcher` tells whether it is one of the watchers of its failure domain.
         """
-        if is_watcher or now - self._heard_at > MAX_SILENCE_SECONDS:
+        if is_watcher or now - self.heard_at > MAX_SILENCE_SECONDS:
             self._watch_until = now + MIN_WATCH_SECONDS
         return now < self._watch_until
--- a/src/ragworthoist/edge/following.py
+++ b/src/ragworthoist/edge/following.py
@@ -24,8 +24,8 @@
     Parameters
     ----------
     node : FleetNode
-        Supplies `clock`, `random`, `tasks`, `datagrams`, `discovery`, `membership`,
-        `configuration`, `policy`, `adopt_configuration`,
+        Supplies `clock`, `started`, `random`, `tasks`, `datagrams`, `discovery`,
+        `membership`, `configuration`, `policy`, `adopt_configuration`,
         `report_refused_configuration` and `fetch_configuration_from`.
     store : object
         Client of the platform's store.
@@ -33,6 +33,12 @@
         Key of the configuration in the store.
     reachability : StoreReachability
         Records whether the store is reachable.
+
+    Attributes
+    ----------
+    confirmed_at : float or None
+        When the store last answered a read or a watch of this node, and so confirmed
+        which version is the newest.
     """
 
     def __init__(self, node, store, key, reachability):
@@ -42,6 +48,7 @@
         self._reachability = reachability
         self._refused_revision = None
         self._is_watching = False
+        self.confirmed_at = None
         self.duty = WatchDuty(node.clock())
 
     async def follow(self):
@@ -84,7 +91,7 @@
     async def _read_and_watch(self):
         """Read the configuration, and watch it while that is this node's duty."""
         stored, revision = await self._store.read(self._key)
-        self._reachability.record_result(None)
+        self._record_confirmation()
         if stored is not None:
             self._adopt(stored)
         if not self._is_on_duty():
@@ -103,14 +110,35 @@
         self._is_watching = True
         try:
             async for value in self._store.watch(self._key, revision):
-                self._reachability.record_result(None)
-                self._adopt(value)
+                self._record_confirmation()
+                if value is not None:
+                    self._adopt(value)
         except StoreError as error:
+            log_event(
+                Event.WATCH_LOST,
+                error=str(error),
+                unconfirmed_seconds=round(self.unconfirmed_seconds, 3),
+            )
             return error
         finally:
             self._is_watching = False
         return None
 
+    @property
+    def is_watching(self):
+        """Whether a watch of this node waits for the store."""
+        return self._is_watching
+
+    @property
+    def unconfirmed_seconds(self):
+        """Seconds since `confirmed_at`, or since the start of the node."""
+        since = self._node.started if self.confirmed_at is None else self.confirmed_at
+        return self._node.clock() - since
+
+    def _record_confirmation(self):
+        self.confirmed_at = self._node.clock()
+        self._reachability.record_result(None)
+
     async def _cancel_without_duty(self, scope):
         await self._wait_for_duty(False)
         scope.cancel()
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -53,6 +53,7 @@
         "uptime_seconds": round(now - node.started, 3),
         "configuration": node.configuration.version,
         "configuration_refused": node.configuration.last_refusal,
+        "configuration_watch": _dump_watch(node, now),
         "server": _dump_server(node, now),
         "admission": {
             "limit": admission.limiter.limit,
@@ -78,6 +79,17 @@
     }
 
 
+def _dump_watch(node, now):
+    follower = node.follower
+    if follower is None:
+        return {}
+    return {
+        "watching": follower.is_watching,
+        "confirmed_seconds_ago": round(follower.unconfirmed_seconds, 3),
+        "watcher_heard_seconds_ago": round(now - follower.duty.heard_at, 3),
+    }
+
+
 def _dump_server(node, now):
     lifecycle = node.lifecycle
     state = {
@@ -112,11 +124,24 @@
     for kind, count in node.store.calls.items():
         store_calls.set({"kind": kind}, count)
     connections_opened.set({}, node.server_client.connections_opened)
+    if node.follower is not None and node.follower.is_watching:
+        _add_watch_metrics(registry, node.follower)
     if forwarder.advertised_rate.has_been_used:
         _add_rate_metrics(registry, node)
     return registry
 
 
+def _add_watch_metrics(registry, follower):
+    from aioprometheus import Gauge
+
+    age = Gauge(
+        "ragworthoist_configuration_unconfirmed_seconds",
+        "Time since the store answered a watch of the configuration, on watchers",
+        registry=registry,
+    )
+    age.set({}, follower.unconfirmed_seconds)
+
+
 def _add_rate_metrics(registry, node):
     """Add what reaches the server, and the rate while it advertises one."""
     from aioprometheus import Counter, Gauge
--- a/src/ragworthoist/platform/store.py
+++ b/src/ragworthoist/platform/store.py
@@ -149,7 +149,10 @@
         await self._call("end", "DELETE", f"/kv-lease-end/{lease}")
 
     async def watch(self, key, revision):
-        """Yield each `StoredValue` of `key` written at or after `revision`."""
+        """Yield each `StoredValue` of `key` written at or after `revision`.
+
+        None is yielded for each answer of the store that reports no change.
+        """
         after = revision - 1
         while True:
             path = f"/kv-watch?pathPrefix={quote(key)}&after={after}"
@@ -159,9 +162,15 @@
             if status == 410:
                 raise HistoryGoneError(after)
             result = _parse(_Events, "watch", status, content)
-            for event in result.events:
-                if event.key == key and event.value is not None:
-                    yield _decode_item(event)
+            changes = [
+                event
+                for event in result.events
+                if event.key == key and event.value is not None
+            ]
+            for event in changes:
+                yield _decode_item(event)
+            if not changes:
+                yield None
             after = result.revision
 
     async def _call(self, operation, method, path, body=None, timeout=None):
--- a/tests/edge/test_following.py
+++ b/tests/edge/test_following.py
@@ -103,6 +103,7 @@
     def __init__(self, fleet, number, domain, store, first_start=True, run=0):
         self.fleet = fleet
         self.clock = asyncio.get_running_loop().time
+        self.started = self.clock()
         self.random = random.Random(number)
         self.store = store
         self.is_cut = False
--- a/tests/edge/test_observing.py
+++ b/tests/edge/test_observing.py
@@ -48,6 +48,7 @@
             advertised_rate=advertised_rate,
         ),
         configuration=SimpleNamespace(version=7, refusals=2),
+        follower=SimpleNamespace(is_watching=True, unconfirmed_seconds=1.5),
         membership=SimpleNamespace(members={}),
         is_ready=True,
     )
@@ -68,6 +69,7 @@
         'ragworthoist_store_calls_total{kind="get"} 2',
         "ragworthoist_server_connections_total 3",
         "ragworthoist_configuration_version 7",
+        "ragworthoist_configuration_unconfirmed_seconds 1.5",
         'ragworthoist_server_requests_total{server="i-1"} 6',
         'ragworthoist_server_requests_per_second{server="i-1"} 1.5',
         'ragworthoist_server_advertised_rate{server="i-1"} 12.8',
