Notice a lost watch of the configuration before the store counts as stable

New routes were answered 404.

Cause: the store can lose a watch without closing its connection. A watcher went on to tell its failure domain that its watch works until the wait asked of the store (15 s) and a grace (2 s) were over, and the others rely on that. A call that begins in a silence is lost, and all watchers begin a watch at the same moment, after a change. The class: a statement that is believed for longer than it was checked.

Ruled out: with the store silent while the watches waited, and with a store restored from a copy, single changes arrived in time.

Why this works: wait and grace together (2.6 s) are shorter than the 3 s after which a store counts as stable, so a lost watch has been replaced by a read before the time in which a change has to be in force begins.

--- a/src/ragworthoist/platform/store.py
+++ b/src/ragworthoist/platform/store.py
@@ -17,11 +17,11 @@
 from ragworthoist.net.client import HttpClient
 from ragworthoist.store import StoredValue, stores
 
-# How long the store may hold a watch request open until there is a change. A longer
-# wait would be no cheaper for the store, but an unresponsive connection would stay
-# unnoticed for longer.
-WATCH_WAIT_MS = 15_000
-WATCH_GRACE_SECONDS = 2.0
+# How long the store may hold a watch request open until there is a change. A watch whose
+# answer was lost looks like one without changes until the wait and the grace are over, so
+# together they stay below the shortest time after which the store counts as stable.
+WATCH_WAIT_MS = 2000
+WATCH_GRACE_SECONDS = 0.6
 _MAX_PAGES = 1000
 # A page of a listing, the longest answer of the store, has about 1 MB.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
--- a/src/ragworthoist_lab/mesh_store.py
+++ b/src/ragworthoist_lab/mesh_store.py
@@ -30,12 +30,16 @@
     forget_history : bool
         Whether one watch, pending or new, is answered with 410, as if its history
         were gone. The store resets this field then.
+    silent : bool
+        Whether calls that arrive, and watches that are pending, are never answered.
+        Their connections stay open, also after this field is reset.
     """
 
     down: bool = False
     delay_seconds: float = 0.0
     lose_answers: int = 0
     forget_history: bool = False
+    silent: bool = False
 
 
 @dataclass(slots=True)
@@ -65,6 +69,9 @@
             await self._control(path, body, send)
             return
         self.calls[path] = self.calls.get(path, 0) + 1
+        if self.faults.silent:
+            await _wait_for_disconnect(receive)
+            return
         await anyio.sleep(self.faults.delay_seconds)
         if self.faults.down:
             await respond(send, 503)
@@ -75,6 +82,9 @@
         if path == "/kv-txn" and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return
+        if self.faults.silent:
+            await _wait_for_disconnect(receive)
+            return
         await respond_json(send, reply, status)
 
     async def _handle_request(self, path, query, body):
@@ -119,7 +129,7 @@
                     for event in self.history
                     if event["revision"] > after and event["key"].startswith(prefix)
                 ]
-                if found or self.faults.down:
+                if found or self.faults.down or self.faults.silent:
                     break
                 await self.changed.wait()
         return 200, {"events": found, "at": self.revision}
@@ -186,6 +196,11 @@
         await respond_json(send, {"revision": self.revision})
 
 
+async def _wait_for_disconnect(receive):
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 def run_mesh_store(port: int):
     """Run the stand-in for the platform's key-value store on loopback.
 
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import signal
+import time
 import urllib.request
 from collections import Counter
 
@@ -14,6 +15,11 @@
 
 pytestmark = pytest.mark.processes
 
+# The bounds of the platform's pages: a change is in force within `APPLY_SECONDS` once
+# the store has worked for `STABLE_SECONDS`.
+APPLY_SECONDS = 2.0
+STABLE_SECONDS = 3.0
+SILENCE_SECONDS = 1.0
 RULES = {
     "/shop/": {"service": "shop"},
     "/stock/": {"service": "stock"},
@@ -88,6 +94,12 @@
     return Counter(record["attempt"] for record in runs), runs
 
 
+def is_watching(mesh, endpoint):
+    state = mesh.read_state(endpoint)
+    watches = state["configuration_watch"]["watching"]
+    return watches and state["configuration"] == mesh.version
+
+
 class TestServing:
     @pytest.mark.parametrize("size", [0, 10, 100_000, 3_000_000])
     @pytest.mark.parametrize("target", ["/shop/a?x=1", "/stock/b", "/order/c"])
@@ -150,6 +162,22 @@
         mesh.configure(RULES)
         mesh.wait_for_version()
 
+    def test_change_is_not_in_force_in_time_after_a_short_silence_of_the_store(
+        self, mesh
+    ):
+        mesh.configure(RULES)
+        for endpoint in mesh.endpoints:
+            wait_until(lambda e=endpoint: is_watching(mesh, e))
+        mesh.control_store("faults", {"silent": True})
+        time.sleep(SILENCE_SECONDS)
+        mesh.control_store("faults", {"silent": False})
+        time.sleep(STABLE_SECONDS)
+        mesh.configure(RULES | {"/late/": {"service": "stock"}})
+        time.sleep(APPLY_SECONDS)
+        assert {mesh.read_state(e)["configuration"] for e in mesh.endpoints} == {
+            mesh.version
+        }
+
 
 class TestMetrics:
     def test_every_node_serves_metrics_repeatedly(self, mesh):
