Read the configuration again when the store was restored from a copy

Cause: a revision counts within one era of the store only. A watch that waits through a restore is answered with a lower revision, or with one that was given out again, and the next watch starts there; only a watch from a revision that the store does not have yet gets 410. The header Store-Era was not read. The class: a position that is used after the history it belongs to has been replaced.

Why this works: the position from which a watch starts carries the era of the read that gave it. An answer of another era, or with a lower revision where the store names no era, ends the watch like 410, and a read follows.

--- a/src/ragworthoist/edge/following.py
+++ b/src/ragworthoist/edge/following.py
@@ -90,7 +90,7 @@
 
     async def _read_and_watch(self):
         """Read the configuration, and watch it while that is this node's duty."""
-        stored, revision = await self._store.read(self._key)
+        stored, position = await self._store.read(self._key)
         self._record_confirmation()
         if stored is not None:
             self._adopt(stored)
@@ -100,16 +100,16 @@
         failure = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._cancel_without_duty, tasks.cancel_scope)
-            failure = await self._watch(revision + 1)
+            failure = await self._watch(position)
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
 
-    async def _watch(self, revision):
-        """Adopt changes from `revision` on; return the `StoreError` that ends it."""
+    async def _watch(self, position):
+        """Adopt changes after `position`; return the `StoreError` that ends it."""
         self._is_watching = True
         try:
-            async for value in self._store.watch(self._key, revision):
+            async for value in self._store.watch(self._key, position):
                 self._record_confirmation()
                 if value is not None:
                     self._adopt(value)
--- a/src/ragworthoist/platform/store.py
+++ b/src/ragworthoist/platform/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+import re
+from dataclasses import dataclass
 from urllib.parse import quote, urlsplit
 
 import anyio
@@ -17,14 +19,16 @@
 from ragworthoist.net.client import HttpClient
 from ragworthoist.store import StoredValue, stores
 
-# How long the store may hold a watch request open until there is a change. A watch whose
-# answer was lost looks like one without changes until the wait and the grace are over, so
-# together they stay below the shortest time after which the store counts as stable.
+# How long the store may hold a watch request open until there is a change. A watch
+# whose answer was lost looks like one without changes until the wait and the grace are
+# over, so together they stay below the time after which the store counts as stable.
 WATCH_WAIT_MS = 2000
 WATCH_GRACE_SECONDS = 0.6
 _MAX_PAGES = 1000
 # A page of a listing, the longest answer of the store, has about 1 MB.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_ERA_HEADER = b"store-era"
+_ERA_PATTERN = re.compile(rb"[0-9]{1,18}")
 
 
 class _Model(BaseModel):
@@ -54,6 +58,25 @@
     lease_id: int | str = Field(alias="leaseId")
 
 
+@dataclass(frozen=True, slots=True)
+class StorePosition:
+    """A place in the history of the store.
+
+    `era` tells how often the store was restored from a copy; it is None if the store
+    doesn't say. A revision is only meaningful within one era.
+    """
+
+    revision: int
+    era: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    content: bytes
+    era: int | None
+
+
 @stores.register("platform")
 class PlatformStore:
     """A client of the platform's store.
@@ -63,13 +86,22 @@
     settings : StoreSettings
         Address and timeout.
 
+    Attributes
+    ----------
+    calls : dict
+        Number of calls by operation.
+    era : int or None
+        Era of the store in its last answer, see `StorePosition`. Leases of an earlier
+        era are gone, and their ids may have been given out again.
+
     Raises
     ------
     StoreUnavailableError
         From every call without an answer, or answered with status 429, 500, 502, 503
         or 504; a write may still have taken effect.
     HistoryGoneError
-        From a watch whose revisions the store no longer holds.
+        From a watch whose revisions the store no longer holds, also because it was
+        restored from a copy.
     StoreResponseError
         From every call whose answer violates the protocol.
     """
@@ -80,6 +112,7 @@
         self._timeout = settings.timeout_ms / 1000
         self._client = HttpClient((parts.hostname, parts.port))
         self.calls = {}
+        self.era = None
 
     async def __aenter__(self):
         return self
@@ -89,21 +122,22 @@
 
     async def get(self, key):
         """Return the `StoredValue` under `key`, None if there is none."""
-        status, content = await self._call("get", "GET", f"/kv-key?key={quote(key)}")
-        if status == 404:
+        reply = await self._call("get", "GET", f"/kv-key?key={quote(key)}")
+        if reply.status == 404:
             return None
-        return _decode_item(_parse(_Item, "get", status, content))
+        return _decode_item(_parse(_Item, "get", reply))
 
     async def read(self, key):
-        """Return (`StoredValue` under `key` or None, revision of the store).
+        """Return (`StoredValue` under `key` or None, `StorePosition` of the store).
 
-        A watch from the revision after that one misses no change of `key`.
+        A watch from that position misses no change of `key`.
         """
         path = f"/kv-range?pathPrefix={quote(key)}"
-        status, content = await self._call("read", "GET", path)
-        result = _parse(_Range, "read", status, content)
+        reply = await self._call("read", "GET", path)
+        result = _parse(_Range, "read", reply)
         found = [item for item in result.items if item.key == key]
-        return _decode_item(found[0]) if found else None, result.revision
+        position = StorePosition(result.revision, reply.era)
+        return _decode_item(found[0]) if found else None, position
 
     async def list(self, prefix):
         """Return the values of all keys that start with `prefix`."""
@@ -113,8 +147,7 @@
             path = f"/kv-range?pathPrefix={quote(prefix)}"
             if after:
                 path += f"&after={quote(after)}"
-            status, content = await self._call("list", "GET", path)
-            page = _parse(_Range, "list", status, content)
+            page = _parse(_Range, "list", await self._call("list", "GET", path))
             items += [_decode_item(item) for item in page.items]
             if not page.has_more or not page.items:
                 break
@@ -129,39 +162,41 @@
             "leaseId": lease,
         }
         body = {"expect": [], "puts": [put], "deletes": []}
-        status, _ = await self._call("put", "POST", "/kv-txn", body)
-        if status != 200:
-            raise StoreResponseError("put", status)
+        reply = await self._call("put", "POST", "/kv-txn", body)
+        if reply.status != 200:
+            raise StoreResponseError("put", reply.status)
 
     async def grant_lease(self, seconds):
         """Create a lease of `seconds` and return its id."""
         body = {"ttlMs": int(seconds * 1000)}
-        status, content = await self._call("lease", "POST", "/kv-lease", body)
-        return _parse(_Lease, "lease", status, content).lease_id
+        reply = await self._call("lease", "POST", "/kv-lease", body)
+        return _parse(_Lease, "lease", reply).lease_id
 
     async def keep_lease(self, lease):
         """Renew `lease`; return False if it has expired."""
-        status, _ = await self._call("keep", "POST", f"/kv-keep/{lease}")
-        return status == 200
+        reply = await self._call("keep", "POST", f"/kv-keep/{lease}")
+        return reply.status == 200
 
     async def end_lease(self, lease):
         """End `lease` and remove its keys."""
         await self._call("end", "DELETE", f"/kv-lease-end/{lease}")
 
-    async def watch(self, key, revision):
-        """Yield each `StoredValue` of `key` written at or after `revision`.
+    async def watch(self, key, position):
+        """Yield each `StoredValue` of `key` written after `position`, from `read`.
 
         None is yielded for each answer of the store that reports no change.
         """
-        after = revision - 1
+        after = position.revision
         while True:
             path = f"/kv-watch?pathPrefix={quote(key)}&after={after}"
             path += f"&waitMs={WATCH_WAIT_MS}"
             timeout = WATCH_WAIT_MS / 1000 + WATCH_GRACE_SECONDS
-            status, content = await self._call("watch", "GET", path, timeout=timeout)
-            if status == 410:
+            reply = await self._call("watch", "GET", path, timeout=timeout)
+            if reply.status == 410:
+                raise HistoryGoneError(after)
+            result = _parse(_Events, "watch", reply)
+            if reply.era != position.era or result.revision < after:
                 raise HistoryGoneError(after)
-            result = _parse(_Events, "watch", status, content)
             changes = [
                 event
                 for event in result.events
@@ -174,7 +209,7 @@
             after = result.revision
 
     async def _call(self, operation, method, path, body=None, timeout=None):
-        """Return the status and the body of the answer to one call."""
+        """Return the `_Reply` to one call."""
         self.calls[operation] = self.calls.get(operation, 0) + 1
         raw = b"" if body is None else json.dumps(body).encode()
         head = b"%s %s HTTP/1.1\r\nhost: %s\r\n" % (
@@ -197,13 +232,23 @@
         except (ExchangeError, BodyCutError) as error:
             raise StoreUnavailableError(operation, str(error)) from None
         status = response.status
+        era = _read_era(response.headers)
+        if era is not None:
+            self.era = era
         if content is None:
             raise StoreResponseError(operation, status)
         if status in (429, 500, 502, 503, 504):
             raise StoreUnavailableError(operation, f"status {status}")
         if status not in (200, 404, 410, 412):
             raise StoreResponseError(operation, status)
-        return status, content
+        return _Reply(status, content, era)
+
+
+def _read_era(headers):
+    for name, value in headers:
+        if name.lower() == _ERA_HEADER and _ERA_PATTERN.fullmatch(value):
+            return int(value)
+    return None
 
 
 async def _read_all(pipe):
@@ -218,12 +263,12 @@
     return b"".join(parts)
 
 
-def _parse(model, operation, status, content):
-    """Return the `model` in the body `content` of an answer to `operation`."""
+def _parse(model, operation, reply):
+    """Return the `model` in the body of the `reply` to `operation`."""
     try:
-        return model.model_validate_json(content)
+        return model.model_validate_json(reply.content)
     except ValidationError:
-        raise StoreResponseError(operation, status) from None
+        raise StoreResponseError(operation, reply.status) from None
 
 
 def _decode_item(item):
--- a/src/ragworthoist_lab/mesh_store.py
+++ b/src/ragworthoist_lab/mesh_store.py
@@ -1,10 +1,12 @@
 """Stand-in for the platform's key-value store, with leases, watches and faults.
 
 `POST /faults` sets the faults, `POST /write` writes a value as an operator does, and
-`GET /calls` returns the number of calls of each path.
+`GET /calls` returns the number of calls of each path. `GET /copy` copies what the store
+holds, and `GET /restore` brings that copy back.
 """
 
 import base64
+import copy
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
@@ -50,8 +52,12 @@
 
 @dataclass(slots=True)
 class MeshStore:
-    """An ASGI application that keeps items and their history in memory."""
+    """An ASGI application that keeps items and their history in memory.
 
+    `era` is the number of restores so far, and `_saved` the copy for the next one.
+    """
+
+    era: int = 0
     revision: int = 10
     items: dict = field(default_factory=dict)
     history: list = field(default_factory=list)
@@ -59,13 +65,14 @@
     calls: dict = field(default_factory=dict)
     faults: MeshFaults = field(default_factory=MeshFaults)
     changed: anyio.Event = field(default_factory=anyio.Event)
+    _saved: dict = field(default_factory=dict)
 
     async def __call__(self, scope, receive, send):
         """Serve one HTTP request."""
         if scope["type"] != "http":
             return
         path, body = scope["path"], await read_json(receive)
-        if path in ("/faults", "/write", "/calls"):
+        if path in ("/faults", "/write", "/calls", "/copy", "/restore"):
             await self._control(path, body, send)
             return
         self.calls[path] = self.calls.get(path, 0) + 1
@@ -85,7 +92,7 @@
         if self.faults.silent:
             await _wait_for_disconnect(receive)
             return
-        await respond_json(send, reply, status)
+        await respond_json(send, reply, status, [(b"store-era", b"%d" % self.era)])
 
     async def _handle_request(self, path, query, body):
         if path == "/kv-key":
@@ -119,6 +126,8 @@
 
     async def _watch(self, query):
         prefix, after = query["pathPrefix"], int(query["after"])
+        if after > self.revision:
+            return 410, {}
         with anyio.move_on_after(int(query["waitMs"]) / 1000):
             while True:
                 if self.faults.forget_history:
@@ -186,7 +195,16 @@
         if path == "/calls":
             await respond_json(send, self.calls)
             return
-        if path == "/write":
+        if path == "/copy":
+            self._saved = {
+                name: copy.deepcopy(getattr(self, name))
+                for name in ("revision", "items", "history", "leases")
+            }
+        elif path == "/restore":
+            self.era += 1
+            for name, value in copy.deepcopy(self._saved).items():
+                setattr(self, name, value)
+        elif path == "/write":
             value = base64.b64encode(body["value"].encode()).decode()
             self._write(body["key"], value)
         else:
--- a/src/ragworthoist_lab/web.py
+++ b/src/ragworthoist_lab/web.py
@@ -16,9 +16,9 @@
     return json.loads(raw) if raw else {}
 
 
-async def respond_json(send, value, status=200):
-    """Send a response with `value` as JSON."""
-    headers = [(b"content-type", b"application/json")]
+async def respond_json(send, value, status=200, headers=()):
+    """Send a response with `value` as JSON, and with `headers` besides."""
+    headers = [(b"content-type", b"application/json"), *headers]
     await respond(send, status, headers, json.dumps(value).encode())
 
 
--- a/tests/edge/test_following.py
+++ b/tests/edge/test_following.py
@@ -54,9 +54,9 @@
     async def watch(self, _key, revision):
         while True:
             await self.count_call()
-            while self.value is None or self.value.revision < revision:
+            while self.value is None or self.value.revision <= revision:
                 await self.changed.wait()
-            revision = self.revision + 1
+            revision = self.revision
             yield self.value
 
     async def list(self, _prefix):
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -100,6 +100,11 @@
     return watches and state["configuration"] == mesh.version
 
 
+def write_other_values(mesh, count):
+    for number in range(count):
+        mesh.control_store("write", {"key": f"other/{number}", "value": ""})
+
+
 class TestServing:
     @pytest.mark.parametrize("size", [0, 10, 100_000, 3_000_000])
     @pytest.mark.parametrize("target", ["/shop/a?x=1", "/stock/b", "/order/c"])
@@ -178,6 +183,23 @@
             mesh.version
         }
 
+    def test_change_after_a_restore_of_the_store_is_not_in_force_in_time(self, mesh):
+        mesh.configure(RULES)
+        for endpoint in mesh.endpoints:
+            wait_until(lambda e=endpoint: is_watching(mesh, e))
+        mesh.control_store("copy")
+        write_other_values(mesh, 4)
+        mesh.configure(RULES)
+        mesh.wait_for_version()
+        mesh.control_store("restore")
+        mesh.configure(RULES | {"/again/": {"service": "stock"}})
+        # The revisions of the lost changes are given out again.
+        write_other_values(mesh, 8)
+        time.sleep(STABLE_SECONDS + APPLY_SECONDS)
+        assert {mesh.read_state(e)["configuration"] for e in mesh.endpoints} == {
+            mesh.version
+        }
+
 
 class TestMetrics:
     def test_every_node_serves_metrics_repeatedly(self, mesh):
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -6,12 +6,14 @@
 import pytest
 
 from ragworthoist._settings import StoreSettings
-from ragworthoist.exceptions import StoreError, StoreResponseError
-from ragworthoist.platform.store import PlatformStore
+from ragworthoist.exceptions import HistoryGoneError, StoreError, StoreResponseError
+from ragworthoist.platform.store import PlatformStore, StorePosition
 
 HANG_SECONDS = 20.0
 LONG = b"x" * 200_000
 
+POSITION = StorePosition(2, None)
+
 CALLS = {
     "get": lambda store: store.get("op/config"),
     "read": lambda store: store.read("op/config"),
@@ -20,13 +22,14 @@
     "put": lambda store: store.put("peers/a", b"x", 1),
     "keep": lambda store: store.keep_lease(1),
     "end": lambda store: store.end_lease(1),
-    "watch": lambda store: anext(store.watch("op/config", 2)),
+    "watch": lambda store: anext(store.watch("op/config", POSITION)),
 }
 
 
-def make_answer(body, length=None, status=b"200 OK"):
+def make_answer(body, length=None, status=b"200 OK", headers=b""):
     length = len(body) if length is None else length
-    return b"HTTP/1.1 %s\r\ncontent-length: %d\r\n\r\n%s" % (status, length, body)
+    head = b"HTTP/1.1 %s\r\ncontent-length: %d\r\n%s\r\n" % (status, length, headers)
+    return head + body
 
 
 async def call_store(operation, serve, timeout_ms=1000):
@@ -153,3 +156,49 @@
 
     found = asyncio.run(call_store("list", serve))
     assert [(item.key, item.value) for item in found] == [("a", b"x"), ("b", b"y")]
+
+
+@pytest.mark.parametrize(
+    ("read_era", "watch_era", "revision", "is_gone"),
+    [
+        (b"1", b"1", 9, False),
+        (b"1", b"1", 10, False),
+        (None, None, 9, False),
+        # The store has given out the revisions again since the read.
+        (b"1", b"2", 9, True),
+        (b"1", b"2", 10, True),
+        (None, b"1", 10, True),
+        (None, None, 8, True),
+        (b"1", b"1", 8, True),
+    ],
+)
+def test_watch_that_survives_a_restore_misses_changes(
+    read_era, watch_era, revision, is_gone
+):
+    async def serve(reader, writer):
+        for era, fields in (
+            (read_era, {"items": [], "at": 9}),
+            (watch_era, {"events": [], "at": revision}),
+        ):
+            await reader.readuntil(b"\r\n\r\n")
+            headers = b"" if era is None else b"store-era: %s\r\n" % era
+            writer.write(make_answer(json.dumps(fields).encode(), headers=headers))
+        await reader.read()
+        writer.close()
+
+    async def read_and_watch(store):
+        _, position = await store.read("op/config")
+        return await anext(store.watch("op/config", position))
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        settings = StoreSettings(url=f"http://127.0.0.1:{port}", protocol="platform")
+        async with asyncio.timeout(HANG_SECONDS), server, PlatformStore(settings) as s:
+            return await read_and_watch(s)
+
+    if is_gone:
+        with pytest.raises(HistoryGoneError):
+            asyncio.run(run())
+    else:
+        assert asyncio.run(run()) is None
