Write the records of nodes again when the store was restored from a copy

Cause: a lease counts within one era of the store only, like a revision. Renewals were made every 5 s, and an answer of 200 was taken for the own lease, whoever had been granted the id since. On leaving, a node would have ended that other lease.

Why this works: a lease is kept with the era in which it was granted.

--- a/src/ragworthoist/edge/discovery.py
+++ b/src/ragworthoist/edge/discovery.py
@@ -55,6 +55,8 @@
         self._is_first_start = fleet.first_start
         self._reachability = reachability
         self._lease = None
+        # Era of the store in which the lease was granted.
+        self._lease_era = None
         self._has_left = False
         self.has_joined = False
 
@@ -83,6 +85,7 @@
     async def leave(self):
         """Remove this node's record from the store, and write none any more."""
         self._has_left = True
+        self._drop_lost_lease()
         if self._lease is None:
             return
         try:
@@ -91,20 +94,34 @@
             self._reachability.record_result(error)
 
     async def _wait_for_renewal(self, seconds):
-        """Wait for about `seconds`, less if this node should write its first record.
+        """Wait for about `seconds`, less if this node should write a record.
 
         A member that leaves takes its record with it. If that was the only one, a node
-        that starts then finds nobody.
+        that starts then finds nobody. The same holds after the store was restored from
+        a copy, which has none of the leases granted since.
         """
         membership = self._node.membership
         departures = membership.departures
         ends_at = self._node.clock() + self._add_jitter(seconds)
         while (left := ends_at - self._node.clock()) > 0:
             has_departure = membership.departures != departures
-            if has_departure and self._lease is None and membership.is_watcher:
+            has_no_record = self._lease is None and membership.is_watcher
+            if has_departure and has_no_record:
+                return
+            if self._drop_lost_lease() and membership.is_watcher:
                 return
             await anyio.sleep(min(left, DEPARTURE_POLL_SECONDS))
 
+    def _drop_lost_lease(self):
+        """Forget a lease of an earlier era of the store; return whether there was one.
+
+        Its id may have been given out again, to another node.
+        """
+        is_lost = self._lease is not None and self._lease_era != self._store.era
+        if is_lost:
+            self._lease = None
+        return is_lost
+
     async def _join(self):
         """Find the fleet; return False if the store does not answer."""
         has_answer = False
@@ -121,6 +138,7 @@
         return await self._read_records() is not None
 
     async def _renew_record(self):
+        self._drop_lost_lease()
         try:
             if self._lease is not None and await self._store.keep_lease(self._lease):
                 return
@@ -136,6 +154,7 @@
         key = f"{self._prefix}{member.domain}/{member.host}:{member.port}"
         try:
             self._lease = await self._store.grant_lease(RECORD_LEASE_SECONDS)
+            self._lease_era = self._store.era
             await self._store.put(key, msgpack.packb(member.pack()), self._lease)
             if self._has_left:
                 await self._store.end_lease(self._lease)
--- a/tests/edge/test_discovery.py
+++ b/tests/edge/test_discovery.py
@@ -8,6 +8,11 @@
 from fakes import VirtualLoop
 
 DRAIN_SECONDS = 2.6
+# The bound of the platform's pages.
+RECORDS_BACK_SECONDS = 2.0
+# A read and a watch of the configuration, a lease and a record, and a read of the
+# records.
+MAX_CALLS_PER_RECORD = 5
 
 
 async def stop(node):
@@ -27,8 +32,14 @@
 async def run_loops(node, process):
     with process:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(node.discovery.run)
-            tasks.start_soon(node.gossip)
+            node.tasks = tasks
+            for loop in (
+                node.discovery.run,
+                node.gossip,
+                node.follower.follow,
+                node.follower.send_heartbeats,
+            ):
+                tasks.start_soon(loop)
 
 
 def play_restart(size, age, pause, domains=3):
@@ -72,3 +83,36 @@
 @pytest.mark.parametrize("size", [4, 12])
 def test_node_restarted_in_a_young_fleet_joins_without_having_met_it(size, pause, age):
     assert play_restart(size, age, pause) == size - 1
+
+
+@pytest.mark.parametrize("is_lease_reused", [False, True])
+@pytest.mark.parametrize("size", [4, 12])
+def test_records_are_missing_after_a_restore_of_the_store(size, is_lease_reused):
+    """A lease whose id another node has got is not taken for the own one."""
+
+    async def run():
+        store = Store()
+        store.write(1)
+        fleet = {}
+        for number in range(size):
+            node = Node(fleet, number, f"d{number % 3}", store)
+            fleet[node.address] = node
+        async with anyio.create_task_group() as tasks:
+            for node in fleet.values():
+                tasks.start_soon(run_loops, node, anyio.CancelScope())
+            await asyncio.sleep(20.0)
+            watchers = [n for n in fleet.values() if n.membership.is_watcher]
+            before = len(store.records)
+            store.restore()
+            if is_lease_reused:
+                store.leases = [set() for _ in range(2 * size)]
+            calls = store.calls
+            await asyncio.sleep(RECORDS_BACK_SECONDS)
+            after, calls = len(store.records), store.calls - calls
+            tasks.cancel_scope.cancel()
+        assert before >= len(watchers)
+        assert after == len(watchers)
+        assert calls <= MAX_CALLS_PER_RECORD * len(watchers)
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
--- a/tests/edge/test_following.py
+++ b/tests/edge/test_following.py
@@ -18,7 +18,11 @@
 from ragworthoist.core.watching import MAX_SILENCE_SECONDS, WatchDuty
 from ragworthoist.edge.discovery import FleetDiscovery
 from ragworthoist.edge.following import ConfigurationFollower
-from ragworthoist.exceptions import DocumentError, StoreUnavailableError
+from ragworthoist.exceptions import (
+    DocumentError,
+    HistoryGoneError,
+    StoreUnavailableError,
+)
 from ragworthoist.store import StoredValue
 from ragworthoist.store.reachability import StoreReachability
 
@@ -31,6 +35,7 @@
 
     def __init__(self):
         self.calls = 0
+        self.era = 0
         self.records = {}
         self.leases = []
         self.value = None
@@ -43,6 +48,16 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self):
+        """Come back from a copy that has no record yet, and cut the watches."""
+        self.era += 1
+        self.revision -= 1
+        self.value = StoredValue("routes", self.value.value, self.revision)
+        self.records = {}
+        self.leases = []
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def count_call(self):
         self.calls += 1
         await asyncio.sleep(0.004)
@@ -52,10 +67,13 @@
         return self.value, self.revision
 
     async def watch(self, _key, revision):
+        era = self.era
         while True:
             await self.count_call()
             while self.value is None or self.value.revision <= revision:
                 await self.changed.wait()
+                if self.era != era:
+                    raise HistoryGoneError(revision)
             revision = self.revision
             yield self.value
 
@@ -76,7 +94,7 @@
     async def keep_lease(self, lease):
         # A renewal costs a tenth of a call.
         self.calls += 0.1
-        return self.leases[lease - 1] is not None
+        return lease <= len(self.leases) and self.leases[lease - 1] is not None
 
     async def end_lease(self, lease):
         await self.count_call()
