Keep a node from being ready with an older configuration than its peers

What callers saw: a node that starts while the store holds an older document than is in force, as after a restore from a copy, was ready before it had fetched the newer one from a peer, for up to half a second across failure domains.

Cause: readiness waited for the answers of all members, which name their versions, but not for the version that they name.

Evidence: the test failed before, ready at 0.05 s with version 1 beside a peer with version 2.

Why this works: the fetch starts with the first answer that names a newer version; the node waits for it, and not longer than for its members (2 s).

--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -202,13 +202,23 @@
             return False
         if now - self.started > DISCOVERY_TIMEOUT_SECONDS:
             return True
+        if not self.discovery.has_joined or self._is_configuration_behind():
+            return False
         # Records in the store may be old: whether a node accepts calls is only known
         # once it has answered.
-        return self.discovery.has_joined and all(
+        return all(
             self._unanswered_pings[member.instance] > MAX_UNANSWERED_PINGS
             for member in self.membership.list_unseen()
         )
 
+    def _is_configuration_behind(self):
+        """Whether a peer has a newer configuration in force than this node."""
+        versions = self.membership.configuration_versions
+        return any(
+            versions.get(member.instance, 0) > self.configuration.version
+            for member in self.membership.peers()
+        )
+
     async def _poll_settings(self):
         stamp = self._read_settings_stamp()
         while True:
--- a/tests/edge/test_edge_node.py
+++ b/tests/edge/test_edge_node.py
@@ -13,7 +13,11 @@
 from ragworthoist._settings import AttemptSettings
 from ragworthoist.core.members import Member
 from ragworthoist.edge import node as edge_node
-from ragworthoist.edge.node import CONTACT_INTERVAL_SECONDS, EdgeNode
+from ragworthoist.edge.node import (
+    CONTACT_INTERVAL_SECONDS,
+    DISCOVERY_TIMEOUT_SECONDS,
+    EdgeNode,
+)
 
 SETTINGS = AttemptSettings.model_validate(
     {
@@ -85,3 +89,39 @@
         seconds, sent = runner.run(run())
     assert seconds < ready_before
     assert sent <= 1 + seconds / 0.2
+
+
+@pytest.mark.parametrize(
+    ("peer_version", "adopted_after", "ready_at_least", "ready_before"),
+    [
+        (1, None, 0.0, 0.2),
+        (2, 0.5, 0.5, 0.7),
+        # A version that this node refuses does not keep it from serving for good.
+        (2, None, DISCOVERY_TIMEOUT_SECONDS, DISCOVERY_TIMEOUT_SECONDS + 0.2),
+    ],
+)
+def test_node_is_ready_with_an_older_configuration_than_its_peers(
+    peer_version, adopted_after, ready_at_least, ready_before, monkeypatch
+):
+    async def run():
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(edge_node, "read_clock", loop.time)
+        node = EdgeNode(SETTINGS)
+        node.datagrams = Datagrams(node, 1e6)
+        node.discovery = Joined()
+        node.configuration.policy = SimpleNamespace(version=1)
+        member = Member(b"peer", "shop", "r", "z", "10.0.0.9", 1)
+        node.membership.merge([member], loop.time())
+        node.membership.configuration_versions[b"peer"] = peer_version
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node._check)
+            while not node.is_ready:
+                await asyncio.sleep(0.01)
+                if adopted_after is not None and loop.time() >= adopted_after:
+                    node.configuration.policy = SimpleNamespace(version=peer_version)
+            tasks.cancel_scope.cancel()
+        return loop.time()
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        seconds = runner.run(run())
+    assert ready_at_least <= seconds < ready_before
