Refuse configurations that are too deep or hold numbers beyond 64 bits

What callers saw, or would have: with such a document in the store, the task that follows the configuration ended with an error ten times a second, each time after a paid read, and no later change was taken from a watch in between; a rank or a weight beyond 64 bits was taken, and every call with it failed at the frame to the next node. Other operators reported the former.

Cause: what json.loads and the checks of fields do not raise as ValueError (RecursionError), or do not refuse (integers of any size, infinite numbers, lone surrogates), went on into code that does not expect it.

--- a/src/ragworthoist/platform/configuration.py
+++ b/src/ragworthoist/platform/configuration.py
@@ -1,9 +1,9 @@
 """The operators' configuration in the platform's format."""
 
-import json
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic_core import from_json
 
 from ragworthoist._document import convert_validation_error
 from ragworthoist.core.routes import (
@@ -16,8 +16,11 @@
 )
 from ragworthoist.exceptions import DocumentError
 
+# Frames between nodes carry no larger integers.
+MAX_INTEGER = 2**63 - 1
+
 Milliseconds = Annotated[float, Field(gt=0)]
-Count = Annotated[int, Field(ge=1)]
+Count = Annotated[int, Field(ge=1, le=MAX_INTEGER)]
 
 # Requests of an idempotent kind may be retried even if they may have run. Other
 # requests are retried only if it is certain that they have not. An upload differs from
@@ -26,7 +29,7 @@
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", allow_inf_nan=False)
 
 
 class _Split(_Model):
@@ -41,7 +44,7 @@
     timeout_ms: Milliseconds = Field(alias="timeoutMs")
     latency_target_ms: Milliseconds = Field(alias="targetLatencyMs")
     # The rank; 0 is the most urgent.
-    priority: int = Field(default=0, ge=0)
+    priority: int = Field(default=0, ge=0, le=MAX_INTEGER)
     service: str | None = None
     weighted_split: list[_Split] | None = Field(default=None, alias="weightedSplit")
     # Maximum number of endpoints to which one attempt of a client is forwarded. How
@@ -128,7 +131,9 @@
         If `raw` is not JSON, or a field is missing or invalid.
     """
     try:
-        values = json.loads(raw)
+        # Unlike `json.loads`, this also raises ValueError for deeply nested values, and
+        # for text that cannot be encoded.
+        values = from_json(raw, allow_inf_nan=False)
         document = _Configuration.model_validate(values)
     except ValidationError as error:
         refusal = convert_validation_error(error, "routes", DocumentError)
--- a/tests/platform/test_platform_configuration.py
+++ b/tests/platform/test_platform_configuration.py
@@ -109,3 +109,27 @@
     table = ConfigurationTable(compile=compile_routes)
     table.offer(encode())
     assert table.offer(encode(version)).value == adoption
+
+
+NESTED = b"[" * 10_000 + b"]" * 10_000
+HUGE = 10**4000
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        NESTED,
+        encode()[:-1] + b', "extra": ' + NESTED + b"}",
+        encode(rules=[RULE | {"priority": HUGE}]),
+        encode(rules=[RULE | {"maxAttempts": HUGE}]),
+        encode(rules=[RULE | {"timeoutMs": float("inf")}]),
+        encode(rules=[RULE | {"timeoutMs": float("nan")}]),
+        encode(rules=[RULE | {"service": None, "weightedSplit": [
+            {"service": "shop", "weight": float("inf")}]}]),
+        encode(limits={"maxBodyBytes": HUGE}),
+        encode(services=[{"name": "shop"}, {"name": "\ud800"}]),
+    ],
+)  # fmt: skip
+def test_odd_configuration_ends_the_task_that_follows_it(raw):
+    with pytest.raises(DocumentError):
+        compile_routes(raw)
