Refuse heartbeats of other writers that are too deep or out of range

What callers saw, or would have: after a heartbeat with a number of slots of 4,000 digits the node fails at each later report of its server, with an OverflowError that the refusals of reports do not cover; with such a time of its start, each answer and call to that server fails at its frame.

Why this works: the model bounds the numbers, the parser the depth, so the heartbeat is refused with 400 and event 112, and what the server said before stays in force.

--- a/src/ragworthoist/platform/reports.py
+++ b/src/ragworthoist/platform/reports.py
@@ -1,10 +1,10 @@
 """Decoding of the reports that backend servers send about themselves."""
 
-import json
 from typing import Literal
 from urllib.parse import parse_qs, urlsplit
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic_core import from_json
 
 from ragworthoist.core.server_lifecycle import ServerReport
 from ragworthoist.exceptions import ReportError
@@ -12,10 +12,13 @@
 _REPORTS_PATH = "/rpc"
 _HEARTBEAT = "instances.heartbeat"
 _DEREGISTER = "instances.deregister"
+_MAX_SLOTS = 2**31 - 1
+# Frames between nodes carry no larger integers.
+_MAX_INTEGER = 2**63 - 1
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore", strict=True)
+    model_config = ConfigDict(extra="ignore", strict=True, allow_inf_nan=False)
 
 
 class _NodeInfo(_Model):
@@ -24,12 +27,12 @@
     service: str = Field(min_length=1)
     version: str = ""
     zone: str = ""
-    slots: int = Field(ge=0)
+    slots: int = Field(ge=0, le=_MAX_SLOTS)
 
 
 class _StatusInfo(_Model):
     state: Literal["ready", "draining"]
-    seq: int = Field(ge=0)
+    seq: int = Field(ge=0, le=_MAX_INTEGER)
     cold_left_ms: float = Field(default=0, ge=0, alias="coldLeftMs", strict=False)
 
 
@@ -39,7 +42,7 @@
     status: _StatusInfo = Field(alias="statusInfo")
     # Start of the server process, in milliseconds of the server's wall clock; 0 if
     # the report does not give it.
-    server_start_ms: int = Field(default=0, alias="born")
+    server_start_ms: int = Field(default=0, ge=0, le=_MAX_INTEGER, alias="born")
 
 
 def parse_report_target(target):
@@ -75,7 +78,9 @@
         If the body is not JSON, or a field is missing or invalid.
     """
     try:
-        heartbeat = _Heartbeat.model_validate(json.loads(raw))
+        # Unlike `json.loads`, this also raises ValueError for deeply nested values.
+        values = from_json(raw, allow_inf_nan=False)
+        heartbeat = _Heartbeat.model_validate(values)
     except ValidationError as error:
         first = error.errors(include_url=False)[0]
         field = ".".join(str(part) for part in first["loc"])
--- a/tests/platform/test_platform_reports.py
+++ b/tests/platform/test_platform_reports.py
@@ -63,3 +63,20 @@
     with pytest.raises(ReportError) as caught:
         decode_heartbeat("i-1", raw)
     assert caught.value.field == field
+
+
+@pytest.mark.parametrize(
+    ("raw", "field"),
+    [
+        (b"[" * 10_000 + b"]" * 10_000, "body"),
+        (encode(info={"slots": 10**4000}), "nodeInfo.slots"),
+        (encode(status={"seq": 10**4000}), "statusInfo.seq"),
+        (encode(status={"coldLeftMs": float("inf")}), "body"),
+        (encode(born=10**4000), "born"),
+        (encode(born=-1), "born"),
+    ],
+)
+def test_odd_heartbeat_of_another_writer_is_taken_or_fails_later(raw, field):
+    with pytest.raises(ReportError) as caught:
+        decode_heartbeat("i-1", raw)
+    assert caught.value.field == field
