Check every field of a member's record before it becomes a member

What callers saw, or would have: one odd record among those of the nodes ended the discovery of every node that read it, again and again, so that it never found its fleet; or it became a member and was passed on to all nodes. A port of 70,000 closes the socket for gossip for good with the standard event loop, and a host that is no address ends the gossip loop with uvloop.

Cause: the fields of a record were taken as they came. Only what decoding raised was caught, not what the values caused later, in a table, a hash or a socket; and one malformed record ended the reading of those beside it.

Why this works: a record is checked field by field where it is unpacked, which is the one place for records of the store, of exchanges and of datagrams.

--- a/src/ragworthoist/_fleet.py
+++ b/src/ragworthoist/_fleet.py
@@ -10,10 +10,9 @@
 from collections import Counter
 
 import anyio
-from msgpack import UnpackException
 
 from ragworthoist.core.configuration import Adoption
-from ragworthoist.core.members import Member
+from ragworthoist.core.members import Member, unpack_members
 from ragworthoist.core.membership import Membership
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import DocumentError
@@ -233,9 +232,7 @@
         log_event(Event.PEER_REFUSED, peer=peer.hex(), error=str(error))
 
     def _merge_records(self, records, peer):
-        try:
-            members = [Member.unpack(record) for record in records]
-        except (TypeError, ValueError, IndexError, UnpackException) as error:
-            log_event(Event.DATAGRAM_REFUSED, count=1, error=str(error))
-            return
+        members, errors = unpack_members(records)
+        if errors:
+            log_event(Event.DATAGRAM_REFUSED, count=len(errors), error=str(errors[0]))
         self.membership.merge(members, self.clock(), peer)
--- a/src/ragworthoist/core/members.py
+++ b/src/ragworthoist/core/members.py
@@ -1,8 +1,14 @@
 """Members of the fleet, and the messages that nodes exchange about them."""
 
+import functools
+import ipaddress
 from dataclasses import dataclass
 from enum import IntEnum
 
+MAX_INSTANCE_BYTES = 64
+MAX_NAME_LENGTH = 255
+MAX_INCARNATION = 2**62
+
 
 class MemberState(IntEnum):
     """State of a member; of two records with the same incarnation the higher wins."""
@@ -74,8 +80,41 @@
 
     @classmethod
     def unpack(cls, record):
-        """Return the member from a list made by `pack`."""
-        return cls(*record[:7], MemberState(record[7]), bool(record[8]))
+        """Return the member from a list made by `pack`.
+
+        Other writers may leave records in the store, and a record is passed on to all
+        nodes, so every field is checked.
+
+        Raises
+        ------
+        TypeError, ValueError, IndexError
+            If `record` is not that of a member.
+        """
+        instance, service, region, domain, host, port, incarnation = record[:7]
+        is_valid = (
+            type(instance) is bytes
+            and 0 < len(instance) <= MAX_INSTANCE_BYTES
+            and all(_is_name(name) for name in (service, region, domain))
+            and type(host) is str
+            and _is_ip_address(host)
+            and type(port) is int
+            and 0 <= port < 2**16
+            and type(incarnation) is int
+            and 0 <= incarnation <= MAX_INCARNATION
+        )
+        if not is_valid:
+            raise ValueError(f"record of a member out of range: {record!r:.200}")
+        return cls(
+            instance,
+            service,
+            region,
+            domain,
+            host,
+            port,
+            incarnation,
+            MemberState(record[7]),
+            bool(record[8]),
+        )
 
     @property
     def address(self):
@@ -88,6 +127,36 @@
         return self.state < MemberState.DEAD
 
 
+def unpack_members(records):
+    """Return the members in `records`, and the errors of those that are malformed.
+
+    Examples
+    --------
+    >>> unpack_members([[b"1", "shop", "r", "d", "10.0.0.1", 70_000, 0, 0, True]])[0]
+    []
+    """
+    members, errors = [], []
+    for record in records:
+        try:
+            members.append(Member.unpack(record))
+        except (TypeError, ValueError, IndexError) as error:
+            errors.append(error)
+    return members, errors
+
+
+def _is_name(value):
+    return type(value) is str and len(value) <= MAX_NAME_LENGTH
+
+
+@functools.lru_cache(maxsize=4096)
+def _is_ip_address(host):
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 @dataclass(slots=True)
 class Message:
     """One datagram between nodes.
@@ -140,7 +209,7 @@
     def unpack(cls, fields):
         """Return the message from a list made by `pack`."""
         kind, sender, sequence, target, version, digest, updates, relay = fields
-        members = [Member.unpack(record) for record in updates]
+        members, _ = unpack_members(updates)
         return cls(
             MessageKind(kind), sender, sequence, target, version, digest, members, relay
         )
--- a/tests/edge/test_discovery.py
+++ b/tests/edge/test_discovery.py
@@ -3,10 +3,13 @@
 import asyncio
 
 import anyio
+import msgpack
 import pytest
 from edge.test_following import Node, Store
 from fakes import VirtualLoop
 
+from ragworthoist.store import StoredValue
+
 DRAIN_SECONDS = 2.6
 # The bound of the platform's pages.
 RECORDS_BACK_SECONDS = 2.0
@@ -116,3 +119,35 @@
 
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         runner.run(run())
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff",
+        b"\x91" * 10_000 + b"\xc0",
+        msgpack.packb([[], "s", "r", "d0", "10.0.0.9", 1, 0, 0, True]),
+        msgpack.packb([b"odd", "s", "r", "d0", "10.0.0.9", 70_000, 0, 0, True]),
+        msgpack.packb([b"odd", "s", "r", "d0", 5, 1, 0, 0, True]),
+        msgpack.packb([b"odd", "s", "r", "d0", "h" * 1_000_000, 1, 0, 0, True]),
+    ],
+    ids=["empty", "no text", "nested", "no id", "port", "host type", "long host"],
+)
+def test_odd_entry_among_the_records_keeps_a_node_from_its_fleet(value):
+    async def run():
+        store = Store()
+        store.records["a"] = StoredValue("a", value, 1)
+        fleet = {}
+        for number in range(6):
+            node = Node(fleet, number, f"d{number % 3}", store)
+            fleet[node.address] = node
+        async with anyio.create_task_group() as tasks:
+            for node in fleet.values():
+                tasks.start_soon(run_loops, node, anyio.CancelScope())
+            await asyncio.sleep(10.0)
+            tasks.cancel_scope.cancel()
+        return {len(node.membership.peers()) for node in fleet.values()}
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        assert runner.run(run()) == {5}
