Read each address of a node in the store by itself

What callers saw, or would have: on the edge for customers, one odd entry among the addresses hid those after it, ended the task that joins nodes, or became an address at which connecting fails with an error that nobody catches. A node that starts then finds no peers.

Cause: the entries were read in one try block that caught ValueError only, and neither the host nor the port was checked.

--- a/src/ragworthoist/_store_sync.py
+++ b/src/ragworthoist/_store_sync.py
@@ -9,7 +9,9 @@
 from datetime import UTC, datetime
 
 import anyio
+from pydantic_core import from_json
 
+from ragworthoist._settings import Address
 from ragworthoist.core.configuration import Adoption
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import DocumentError, NotReadyError, StoreError
@@ -36,6 +38,20 @@
     return f"ragworthoist/{fleet}/peers/"
 
 
+def _read_address(stored):
+    """Return the (host, port) in a `StoredValue`, None if it holds no address."""
+    try:
+        host, port = from_json(stored.value)
+        return Address(host=host, port=port).pair
+    except (TypeError, ValueError) as error:
+        log_event(
+            Event.DATAGRAM_REFUSED,
+            count=1,
+            error=f"{stored.key} in the store is malformed: {error!r:.200}",
+        )
+        return None
+
+
 class StoreSync:
     """Keeps the configuration of one node up to date, and its address in the store.
 
@@ -64,11 +80,11 @@
         """Return a list of (host, port) of other nodes, from settings and store."""
         addresses = list(self._seeds)
         try:
-            for stored in await self._store.list(self._prefix):
-                host, port = json.loads(stored.value)
-                addresses.append((host, port))
-        except (StoreError, ValueError) as error:
+            stored = await self._store.list(self._prefix)
+        except StoreError as error:
             self._reachability.record_result(error)
+        else:
+            addresses += [a for a in map(_read_address, stored) if a is not None]
         own = self._node.membership.node.address
         return [address for address in dict.fromkeys(addresses) if address != own]
 
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -26,8 +26,15 @@
 class FakeStore:
     """Has a document of `version`, none if it is None, or fails if it is "down"."""
 
-    def __init__(self, version):
+    def __init__(self, version, addresses=()):
         self.version = version
+        self.addresses = addresses
+
+    async def list(self, prefix):
+        return [
+            StoredValue(f"{prefix}{number}", value, 1)
+            for number, value in enumerate(self.addresses)
+        ]
 
     async def get(self, key):
         if self.version == "down":
@@ -84,3 +91,29 @@
         fleet = SimpleNamespace(name="lab", seeds=[])
         with pytest.raises(NotReadyError):
             run_virtual(StoreSync(FakeNode([]), FakeStore("down"), fleet).load_initial)
+
+
+class TestFindPeerAddresses:
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            b"",
+            b"\xff",
+            b"null",
+            b"5",
+            b'["10.0.0.8"]',
+            b'["10.0.0.8", 70000]',
+            b'["10.0.0.8", -1]',
+            b'["10.0.0.8", "x"]',
+            b'["no such host", 7000]',
+            b'[["10.0.0.8"], 7000]',
+            b'["10.0.0.8", %s]' % (b"9" * 4000),
+            b"[" * 10_000 + b"]" * 10_000,
+        ],
+        ids=lambda raw: raw[:20].decode("latin1"),
+    )
+    def test_odd_entry_among_the_addresses_hides_the_others(self, odd):
+        store = FakeStore(1, [odd, b'["10.0.0.9", 7000]'])
+        fleet = SimpleNamespace(name="lab", seeds=[])
+        found = run_virtual(StoreSync(FakeNode([]), store, fleet).find_peer_addresses)
+        assert found == [("10.0.0.9", 7000)]
