Refuse versions of the document that datagrams cannot carry

What callers saw, or would have: on the edge for customers, a document with such a version came into force and then ended the loop that sends gossip, at each datagram, so that its node was lost to the others.

Cause: the version had no upper bound, and packing it for a datagram raises. An error about a value also quoted the whole of it, up to a megabyte in one log line.

Why this works: the model bounds the version at the border, and errors quote a bounded part.

--- a/src/ragworthoist/_document.py
+++ b/src/ragworthoist/_document.py
@@ -16,6 +16,10 @@
 MAX_DOCUMENT_BYTES = 1_000_000
 MAX_KINDS = 200
 MAX_HISTORY_CHANGES = 50
+# Datagrams between nodes carry no larger integers.
+MAX_VERSION = 2**63 - 1
+# A document of another writer may hold a value that fills a log.
+MAX_FOUND_LENGTH = 200
 
 Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9_-]{0,39}$")]
 Milliseconds = Annotated[int, Field(ge=1, le=600_000)]
@@ -140,7 +144,7 @@
 class Change(_Model):
     """One accepted change in the history of the document."""
 
-    version: int = Field(ge=1)
+    version: int = Field(ge=1, le=MAX_VERSION)
     change_id: str
     author: str
     summary: str = Field(max_length=500)
@@ -154,7 +158,7 @@
     whether the write was accepted.
     """
 
-    version: int = Field(default=0, ge=0)
+    version: int = Field(default=0, ge=0, le=MAX_VERSION)
     history: list[Change] = Field(default=[], max_length=MAX_HISTORY_CHANGES)
     defaults: Defaults = Defaults()
     exceptions: list[ExceptionRule] = Field(default=[], max_length=200)
@@ -231,4 +235,6 @@
     found = first.get("input")
     if isinstance(found, dict | list):
         found = type(found).__name__
+    elif len(repr(found)) > MAX_FOUND_LENGTH:
+        found = f"{repr(found)[:MAX_FOUND_LENGTH]}..."
     return error_type(source, key, found, first["msg"])
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -126,3 +126,19 @@
 
         assert caught.value.key == "defaults.retries"
         assert store.value is None
+
+
+class TestParseDocument:
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b'{"version": %d}' % 2**63,
+            b'{"version": %d}' % 10**4000,
+            b"[" * 10_000 + b"]" * 10_000,
+        ],
+        ids=["65 bits", "4,001 digits", "nested"],
+    )
+    def test_odd_document_is_in_force_or_fills_the_log(self, raw):
+        with pytest.raises(DocumentError) as caught:
+            parse_document(raw)
+        assert len(str(caught.value)) < 1000
