--- a/src/ragworthoist_lab/disturbances.py
+++ b/src/ragworthoist_lab/disturbances.py
@@ -314,6 +314,22 @@
     await _run(fleet.mesh.control_store, "faults", calm)
 
 
+@register_disturbance("silence", weight=1.0, seconds=(0.2, 3.0))
+async def silence_store(fleet, endpoint, disturbance):
+    """Let the store lose all calls and watches of a while, on open connections."""
+    await _run(fleet.mesh.control_store, "faults", {"silent": True})
+    await anyio.sleep(disturbance.seconds)
+    await _run(fleet.mesh.control_store, "faults", {"silent": False})
+
+
+@register_disturbance("restore", weight=1.0, seconds=(0.5, 5.0))
+async def restore_store(fleet, endpoint, disturbance):
+    """Let the store come back from a copy that is some seconds old."""
+    await _run(fleet.mesh.control_store, "copy")
+    await anyio.sleep(disturbance.seconds)
+    await _run(fleet.mesh.restore_store)
+
+
 @register_disturbance("configure", weight=1.0, seconds=(0.0, 0.0))
 async def move_route(fleet, endpoint, disturbance):
     """Move a route to another service."""
--- a/src/ragworthoist_lab/mesh.py
+++ b/src/ragworthoist_lab/mesh.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -66,6 +67,8 @@
     store: subprocess.Popen = None
     store_port: int = 0
     version: int = 0
+    _document: dict = field(default_factory=dict)
+    _writing: object = field(default_factory=threading.Lock)
     _directory: object = None
 
     def __enter__(self):
@@ -139,7 +142,24 @@
             Fields of each path rule that differ from the defaults below, by path
             prefix.
         """
-        self.version += 1
+        with self._writing:
+            self.version += 1
+            self._document = {
+                "key": CONFIGURATION_KEY,
+                "value": json.dumps(self._make_document(rules)),
+            }
+            self.control_store("write", self._document)
+
+    def restore_store(self):
+        """Bring the copy of the store back, and write the newest configuration again.
+
+        The operators do the latter on the platform.
+        """
+        with self._writing:
+            self.control_store("restore")
+            self.control_store("write", self._document)
+
+    def _make_document(self, rules):
         path_rules = [
             {
                 "name": prefix.strip("/"),
@@ -153,14 +173,12 @@
             | changes
             for prefix, changes in rules.items()
         ]
-        document = {
+        return {
             "version": f"{self.version:08x}",
             "services": [{"name": name} for name in self.services],
             "limits": {},
             "virtualHosts": [{"host": VIRTUAL_HOST, "pathRules": path_rules}],
         }
-        values = {"key": CONFIGURATION_KEY, "value": json.dumps(document)}
-        self.control_store("write", values)
 
     def wait_for_version(self):
         """Wait until the newest version is in force at all running nodes."""
--- a/src/ragworthoist_lab/promises.py
+++ b/src/ragworthoist_lab/promises.py
@@ -27,6 +27,7 @@
 # A killed or frozen process ends its connections in its own time.
 EXCUSE_SECONDS = 0.5
 _UNPLANNED = ("kill", "pause")
+_STORE_KINDS = frozenset({"store", "silence", "restore"})
 _INTERRUPTIONS = ("kill", "pause", "stop")
 
 
@@ -185,7 +186,7 @@
     services = defaultdict(set)
     for entry in log.journal:
         services[entry["attempt"]].add(entry["service"])
-    store_spans = [span for span in log.spans if span.kind == "store"]
+    store_spans = [span for span in log.spans if span.kind in _STORE_KINDS]
     for result in log.results:
         if not result.target.startswith(MOVED_PREFIX):
             continue
