Report a refused document whose revision was given out again

What operators saw, or would: no event 301 for an invalid document that has got the revision of another invalid one, after the store was restored from a copy. The last valid one stays in force either way.

Found by reading; the test's third case failed before.

Why this works: the whole stored value is compared, not its revision.

--- a/src/ragworthoist/edge/following.py
+++ b/src/ragworthoist/edge/following.py
@@ -46,7 +46,7 @@
         self._store = store
         self._key = key
         self._reachability = reachability
-        self._refused_revision = None
+        self._refused = None
         self._is_watching = False
         self.confirmed_at = None
         self.duty = WatchDuty(node.clock())
@@ -156,8 +156,8 @@
         try:
             adoption = self._node.adopt_configuration(stored.value, "store")
         except DocumentError as error:
-            if self._refused_revision != stored.revision:
-                self._refused_revision = stored.revision
+            if stored != self._refused:
+                self._refused = stored
                 self._node.report_refused_configuration("store", error)
             return
         if adoption is Adoption.ADOPTED and self._is_watching:
--- a/tests/edge/test_following.py
+++ b/tests/edge/test_following.py
@@ -140,6 +140,7 @@
         )
         self.follower = ConfigurationFollower(self, store, "routes", reachability)
         self.adopted = {}
+        self.refusals = []
 
     @property
     def policy(self):
@@ -155,8 +156,8 @@
         self.adopted.setdefault(self.configuration.version, self.clock())
         return adoption
 
-    def report_refused_configuration(self, _source, _error):
-        raise AssertionError
+    def report_refused_configuration(self, _source, error):
+        self.refusals.append(str(error))
 
     async def contact_members(self, members):
         self.membership.merge(members, self.clock())
@@ -194,9 +195,10 @@
 def play(size, scenario, domains=3, cut=(), **store_options):
     """Run a fleet of `size` nodes; return it after `scenario(fleet, store)`."""
 
+    fleet = {}
+
     async def run():
         store = Store(**store_options)
-        fleet = {}
         for number in range(size):
             node_store = CutStore() if number in cut else store
             node = Node(fleet, number, f"d{number % domains}", node_store)
@@ -216,7 +218,9 @@
         return result
 
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(run())
+        result = runner.run(run())
+    assert all(not node.refusals for node in fleet.values())
+    return result
 
 
 async def play_calm_day(nodes, store):
@@ -305,3 +309,23 @@
     for event in events:
         duty.record_heartbeat(event)
     assert duty.evaluate(now, is_watcher=False) is is_on_duty
+
+
+@pytest.mark.parametrize(
+    ("values", "refusals"),
+    [
+        ([(b"odd", 5), (b"odd", 5)], 1),
+        ([(b"odd", 5), (b"odd", 6)], 2),
+        ([(b"odd", 5), (b"other", 5)], 2),
+    ],
+)
+def test_refused_document_is_not_reported_under_a_revision_given_out_again(
+    values, refusals
+):
+    async def run():
+        node = Node({}, 1, "d", Store())
+        for value, revision in values:
+            node.follower._adopt(StoredValue("routes", value, revision))
+        return len(node.refusals)
+
+    assert asyncio.run(run()) == refusals
