Take no renewal of another era for one of the own lease

What callers saw, or would: the record of a node stays missing, as in, if its renewal is the first call after a restore of the store and the id of its lease is another node's then. Found in review.

Cause: the era was compared before the renewal only, and its answer may be the first of the new era. An answer of the earlier era that comes late could also set the era back.

Evidence: the test failed before, with no record.

--- a/src/ragworthoist/platform/store.py
+++ b/src/ragworthoist/platform/store.py
@@ -91,8 +91,8 @@
     calls : dict
         Number of calls by operation.
     era : int or None
-        Era of the store in its last answer, see `StorePosition`. Leases of an earlier
-        era are gone, and their ids may have been given out again.
+        Latest era of the store in its answers, see `StorePosition`. Leases of an
+        earlier era are gone, and their ids may have been given out again.
 
     Raises
     ------
@@ -234,7 +234,8 @@
         status = response.status
         era = _read_era(response.headers)
         if era is not None:
-            self.era = era
+            # Answers of an earlier era may come late.
+            self.era = era if self.era is None else max(self.era, era)
         if content is None:
             raise StoreResponseError(operation, status)
         if status in (429, 500, 502, 503, 504):
--- a/tests/edge/test_discovery.py
+++ b/tests/edge/test_discovery.py
@@ -121,6 +121,29 @@
         runner.run(run())
 
 
+class RestoredStore(Store):
+    """Is restored before the first renewal; the lease's id is another node's then."""
+
+    async def keep_lease(self, lease):
+        if self.era == 0:
+            self.restore()
+            self.leases = [{"other"}]
+        return await super().keep_lease(lease)
+
+
+def test_renewal_of_a_lease_given_out_again_leaves_the_record_missing():
+    async def run():
+        store = RestoredStore()
+        store.write(1)
+        node = Node({}, 1, "d", store)
+        await node.discovery._write_record()
+        await node.discovery._renew_record()
+        return len(store.records), store.leases[0]
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        assert runner.run(run()) == (1, {"other"})
+
+
 @pytest.mark.parametrize(
     "value",
     [
