--- a/src/ragworthoist/edge/discovery.py
+++ b/src/ragworthoist/edge/discovery.py
@@ -140,10 +140,13 @@
     async def _renew_record(self):
         self._drop_lost_lease()
         try:
-            if self._lease is not None and await self._store.keep_lease(self._lease):
-                # The answer may be the first of another era.
-                if not self._drop_lost_lease():
-                    return
+            # The answer may be the first of another era.
+            if (
+                self._lease is not None
+                and await self._store.keep_lease(self._lease)
+                and not self._drop_lost_lease()
+            ):
+                return
         except StoreError as error:
             self._reachability.record_result(error)
             return
