--- a/src/ragworthoist/core/members.py
+++ b/src/ragworthoist/core/members.py
@@ -7,6 +7,7 @@
 
 MAX_INSTANCE_BYTES = 64
 MAX_NAME_LENGTH = 255
+MAX_HOST_LENGTH = 64
 MAX_INCARNATION = 2**62
 
 
@@ -96,6 +97,7 @@
             and 0 < len(instance) <= MAX_INSTANCE_BYTES
             and all(_is_name(name) for name in (service, region, domain))
             and type(host) is str
+            and len(host) <= MAX_HOST_LENGTH
             and _is_ip_address(host)
             and type(port) is int
             and 0 <= port < 2**16
