--- a/src/ragworthoist/core/members.py
+++ b/src/ragworthoist/core/members.py
@@ -137,6 +137,8 @@
     >>> unpack_members([[b"1", "shop", "r", "d", "10.0.0.1", 70_000, 0, 0, True]])[0]
     []
     """
+    if not isinstance(records, list | tuple):
+        return [], [TypeError(f"{type(records).__name__} instead of records")]
     members, errors = [], []
     for record in records:
         try:
@@ -211,6 +213,7 @@
     def unpack(cls, fields):
         """Return the message from a list made by `pack`."""
         kind, sender, sequence, target, version, digest, updates, relay = fields
+        # Nodes of another build may pass on records that this one refuses.
         members, _ = unpack_members(updates)
         return cls(
             MessageKind(kind), sender, sequence, target, version, digest, members, relay
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -132,6 +132,7 @@
 
 
 def _add_watch_metrics(registry, follower):
+    """Add how long ago the store answered the watch of this node."""
     from aioprometheus import Gauge
 
     age = Gauge(
--- a/tests/core/test_members.py
+++ b/tests/core/test_members.py
@@ -57,3 +57,9 @@
     fields = message.pack()
     fields[6].insert(0, make_odd_record(5, 70_000))
     assert Message.unpack(fields) == message
+
+
+@pytest.mark.parametrize("records", [None, 5, b"text", {}])
+def test_exchange_without_a_list_of_records_ends_the_task(records):
+    members, errors = unpack_members(records)
+    assert (members, len(errors)) == ([], 1)
