Show that a planned stop of a node cuts long answers of its server

One node of three gets SIGTERM while its server sends answers of 168,000 bytes to clients of another node.

--- a/review/standins.py
+++ b/review/standins.py
@@ -124,9 +124,18 @@
                 status, extra, content = await self.answer(
                     method, target, headers, body
                 )
-                lines = [f"HTTP/1.1 {status} X", f"content-length: {len(content)}"]
+                lines = [f"HTTP/1.1 {status} X"]
                 lines += [f"{name}: {value}" for name, value in extra]
-                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + content)
+                is_streamed = not isinstance(content, bytes)
+                if is_streamed:
+                    lines.append("transfer-encoding: chunked")
+                else:
+                    lines.append(f"content-length: {len(content)}")
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+                if is_streamed:
+                    await self._write_chunks(writer, content)
+                else:
+                    writer.write(content)
                 await writer.drain()
         except (OSError, EOFError, ValueError, asyncio.LimitOverrunError):
             pass
@@ -134,8 +143,17 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    async def _write_chunks(self, writer, parts):
+        async for part in parts:
+            writer.write(b"%x\r\n" % len(part) + part + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
     async def answer(self, method, target, headers, body):
-        """Return (status, headers, body) of the answer to one request."""
+        """Return (status, headers, body) of the answer to one request.
+
+        The body is bytes, or an asynchronous iterator of its parts.
+        """
         raise NotImplementedError
 
 
@@ -521,14 +539,14 @@
         }
         self.store.write("op/config", json.dumps(document).encode())
 
-    async def start(self, make_body, rules, **options):
+    async def start(self, make_body, rules, endpoint_type=Endpoint, **options):
         """Start everything, and wait until all nodes and servers are in use."""
         if not (ROOT / "target/app").is_dir() or not (ROOT / "target/deps").is_dir():
             raise CouldNotRunError("the build of the deploy file is missing")
         await self.store.start()
         self.configure(1, rules)
         for machine in self.machines:
-            self.endpoints.append(Endpoint(machine, make_body, **options))
+            self.endpoints.append(endpoint_type(machine, make_body, **options))
             await self.endpoints[-1].start()
         for node in self.nodes:
             node.start(is_first_start=True)
