--- a/review/standins.py
+++ b/review/standins.py
@@ -595,12 +595,20 @@
     record(f"disruption: {'yes' if has_trouble else 'no'}")
 
     async def run():
+        # A script that is ended from outside ends what it has started, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(110):
             return await main(record, has_trouble)
 
     try:
         is_kept = asyncio.run(run())
-    except (CouldNotRunError, TimeoutError, OSError) as error:
+    except (
+        CouldNotRunError,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
         record(f"could not run: {error!r}")
         sys.exit(2)
     record("the rule was kept" if is_kept else "the rule was broken")
