Log a connection to a client that ends with a part of its answer not taken

Nothing in the log told why a connection was reset while a client was still reading its answer: the answer had been written, so its request counted as served. The new event names the error.

--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -12,9 +12,10 @@
 
 import httptools
 
+from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import BodyCutError, CallerGoneError
 from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
-from ragworthoist.net.sockets import set_socket_timeouts
+from ragworthoist.net.sockets import read_output_state, set_socket_timeouts
 
 # Bytes of a long body that are kept until the response, so that a call that was refused
 # can be sent elsewhere.
@@ -135,9 +136,11 @@
         self.last_active = self._loop.time()
         self._listener.connections.add(self)
 
-    def connection_lost(self, _error):
+    def connection_lost(self, error):
         """Abandon the requests of a disconnected client."""
         self._is_disconnected = True
+        if error is not None:
+            self._log_cut_answer(error)
         self._listener.connections.discard(self)
         self._resume_writer()
         for request in list(self._requests):
@@ -451,6 +454,15 @@
             else:
                 self._transport.pause_reading()
 
+    def _log_cut_answer(self, error):
+        """Log that the connection ended with output that the client has not taken."""
+        state = read_output_state(self._transport.get_extra_info("socket"))
+        if state is None:
+            return
+        unsent = state.unsent_bytes + self._transport.get_write_buffer_size()
+        if unsent or state.segments_in_flight:
+            log_event(Event.ANSWER_CUT, error=str(error), unsent_bytes=unsent)
+
     def _resume_writer(self):
         writable, self._writable = self._writable, None
         if writable is not None and not writable.done():
