Keep connections whose other end reads slowly but steadily

Cause: TCP_USER_TIMEOUT. Linux applies it to a closed receive window as well, even if the peer acknowledges every probe, and does not forget the closed period when the window opens.

Evidence: event 405 named "Connection timed out" for all 12; on a socket of loopback the end came 2.0 s after the window had closed, 0.4 s after the last acknowledgement.

An OutputMonitor ends a connection whose bytes in flight make no progress for 2 s, as before, or whose probes stay unanswered; a peer that acknowledges stays. A client that reads nothing for the idle timeout is disconnected. The same cause is mended for uploads, peer streams, connections closed after their answer, and the end of the process.

--- a/src/ragworthoist/net/exchanges.py
+++ b/src/ragworthoist/net/exchanges.py
@@ -16,6 +16,7 @@
     GarbledResponseError,
 )
 from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
+from ragworthoist.net.output import OutputMonitor
 from ragworthoist.net.sockets import set_socket_timeouts
 
 # Keep-alive timeout assumed for a server that does not state one.
@@ -112,6 +113,7 @@
         self._client = client
         self._loop = asyncio.get_running_loop()
         self._transport = None
+        self._output = None
         self._parser = httptools.HttpResponseParser(self)
         self._message = None
         self._exchange = None
@@ -148,6 +150,7 @@
         """Set timeouts on the socket of a new connection."""
         self._transport = transport
         set_socket_timeouts(transport.get_extra_info("socket"))
+        self._output = OutputMonitor(self._loop, transport)
 
     def data_received(self, data):
         """Parse data from the server."""
@@ -187,6 +190,7 @@
         """Fail the exchange in progress."""
         self.is_lost = True
         self.is_reusable = False
+        self._output.stop()
         self._resume_writer()
         self._fail(ConnectionLostError(str(error or "closed")))
         self._client.forget(self)
@@ -284,10 +288,10 @@
         if exchange.deadline is not None:
             self._timer = self._loop.call_at(exchange.deadline, self._time_out)
         if isinstance(body, BodyPipe):
-            self._transport.write(exchange.head)
+            self._write(exchange.head)
             self._sender = self._loop.create_task(self._send_piped(body))
         else:
-            self._transport.write(exchange.head + body if body else exchange.head)
+            self._write(exchange.head + body if body else exchange.head)
 
     def abort(self):
         """Close at once, so that the server sees that the request is abandoned."""
@@ -300,15 +304,19 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _write(self, data):
+        self._transport.write(data)
+        self._output.watch()
+
     async def _send_piped(self, body):
         try:
             while data := await body.read():
-                self._transport.write(b"%x\r\n" % len(data) + data + b"\r\n")
+                self._write(b"%x\r\n" % len(data) + data + b"\r\n")
                 if self._writable is not None:
                     await self._writable
                 if self.is_lost:
                     return
-            self._transport.write(b"0\r\n\r\n")
+            self._write(b"0\r\n\r\n")
             self._sender = None
         except BodyCutError:
             # The source of the body ended early, so the request is incomplete too.
--- a/src/ragworthoist/net/listener.py
+++ b/src/ragworthoist/net/listener.py
@@ -60,7 +60,7 @@
         self._sweeper.cancel()
         self._server.close()
         for connection in list(self.connections):
-            connection._transport.close()
+            connection.close_now()
 
     @property
     def open_requests(self):
--- a/src/ragworthoist/net/liveness.py
+++ b/src/ragworthoist/net/liveness.py
@@ -1,4 +1,4 @@
-"""Liveness of the peer at the other end of a stream."""
+"""Liveness of the peer at the other end of a connection."""
 
 from enum import Enum
 
@@ -10,6 +10,11 @@
 # unresponsive; after a longer time the stream is closed.
 UNRESPONSIVE_AFTER_SECONDS = 0.15
 CLOSE_AFTER_SECONDS = 1.5
+# As the user timeout of the kernel, see `net.sockets`.
+ACKNOWLEDGE_TIMEOUT_SECONDS = 2.0
+# Longer than the interval of the probes of a closed receive window. A kernel does not
+# answer a probe that follows another one within half a second.
+PROBE_TIMEOUT_SECONDS = 1.25
 
 
 class Verdict(Enum):
@@ -78,3 +83,95 @@
             return Verdict.FINE
         self._checked_at = now
         return Verdict.ASK
+
+
+class OutputVerdict(Enum):
+    """What is known of a peer to which output is being sent.
+
+    `EMPTY` means that it has acknowledged everything, `WAITING` that it has not,
+    `LOST` that it acknowledges nothing any more, and `STALLED` that it acknowledges
+    but has read nothing for too long.
+    """
+
+    EMPTY = "empty"
+    WAITING = "waiting"
+    LOST = "lost"
+    STALLED = "stalled"
+
+
+class OutputLiveness:
+    """Tells a peer that reads slowly from one that is lost.
+
+    A peer that reads slowly closes its receive window for seconds at a time, but its
+    kernel acknowledges the probes of the window. While the window is open, bytes that
+    were sent must be acknowledged.
+    """
+
+    __slots__ = ("_acknowledged_bytes", "_buffered_bytes", "_progressed_at",
+                 "_unanswered_since")  # fmt: skip
+
+    def __init__(self):
+        self._acknowledged_bytes = 0
+        self._buffered_bytes = 0
+        self._progressed_at = 0.0
+        self._unanswered_since = None
+
+    def record_write(self, now):
+        """Record that output began at time `now`, after all before was acknowledged."""
+        self._progressed_at = now
+        self._unanswered_since = None
+
+    def evaluate(self, now, state, stall_limit):
+        """Return the `OutputVerdict` at time `now`.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        state : OutputState
+            State of the connection at `now`.
+        stall_limit : float or None
+            Longest time in seconds in which the peer may read nothing; None means no
+            limit.
+        """
+        self._record_progress(now, state)
+        if state.is_empty:
+            return OutputVerdict.EMPTY
+        if self._is_lost(now, state):
+            return OutputVerdict.LOST
+        if stall_limit is not None and now - self._progressed_at > stall_limit:
+            return OutputVerdict.STALLED
+        return OutputVerdict.WAITING
+
+    @property
+    def lost_at(self):
+        """Time at which a peer that acknowledges nothing from now on is lost."""
+        return self._progressed_at + ACKNOWLEDGE_TIMEOUT_SECONDS
+
+    def _record_progress(self, now, state):
+        if state.acknowledged_bytes != self._acknowledged_bytes:
+            self._acknowledged_bytes = state.acknowledged_bytes
+            self._progressed_at = max(self._progressed_at, now - state.silent_seconds)
+            self._unanswered_since = None
+        if state.buffered_bytes < self._buffered_bytes:
+            self._progressed_at = now
+        self._buffered_bytes = state.buffered_bytes
+
+    def _is_lost(self, now, state):
+        if not state.is_window_closed:
+            self._unanswered_since = None
+            return (
+                state.segments_in_flight > 0
+                and now - self._progressed_at >= ACKNOWLEDGE_TIMEOUT_SECONDS
+            )
+        if state.segments_in_flight:
+            # Segments that the peer had no room for are sent again as probes.
+            return state.silent_seconds >= ACKNOWLEDGE_TIMEOUT_SECONDS
+        if not state.unanswered_probes:
+            self._unanswered_since = None
+        elif self._unanswered_since is None:
+            self._unanswered_since = now
+        return (
+            self._unanswered_since is not None
+            and now - self._unanswered_since > PROBE_TIMEOUT_SECONDS
+        )
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -15,6 +15,7 @@
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import BodyCutError, CallerGoneError
 from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
+from ragworthoist.net.output import OutputMonitor
 from ragworthoist.net.sockets import read_output_state, set_socket_timeouts
 
 # Bytes of a long body that are kept until the response, so that a call that was refused
@@ -31,6 +32,9 @@
 # Time to read and drop data after the last response; long enough for what a client
 # has already sent when the response reaches it.
 LINGER_SECONDS = 1.0
+# Interval at which a closing connection is checked for a response that the client has
+# not taken.
+CLOSE_POLL_SECONDS = 0.25
 
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 _FRAMING_HEADERS = frozenset(
@@ -107,6 +111,7 @@
         self._listener = listener
         self._loop = listener.loop
         self._transport = None
+        self._output = None
         self._parser = httptools.HttpRequestParser(self)
         self._requests = deque()
         self._current = None
@@ -133,12 +138,14 @@
         """Register the connection with its listener."""
         self._transport = transport
         set_socket_timeouts(transport.get_extra_info("socket"))
+        self._output = OutputMonitor(self._loop, transport, self._get_stall_limit)
         self.last_active = self._loop.time()
         self._listener.connections.add(self)
 
     def connection_lost(self, error):
         """Abandon the requests of a disconnected client."""
         self._is_disconnected = True
+        self._output.stop()
         if error is not None:
             self._log_cut_answer(error)
         self._listener.connections.discard(self)
@@ -308,13 +315,13 @@
         else:
             parts.append(b"\r\n")
         if is_piped:
-            self._transport.write(b"".join(parts))
+            self._write(b"".join(parts))
             if has_body:
                 await self._write_piped(body)
         else:
             if has_body:
                 parts.append(body)
-            self._transport.write(b"".join(parts))
+            self._write(b"".join(parts))
         request.has_responded = True
         if request.pipe is not None:
             request.pipe.discard()
@@ -327,7 +334,7 @@
     async def _write_piped(self, body):
         try:
             while data := await body.read():
-                self._transport.write(b"%x\r\n" % len(data) + data + b"\r\n")
+                self._write(b"%x\r\n" % len(data) + data + b"\r\n")
                 if self._writable is not None:
                     await self._writable
                 if self._is_disconnected:
@@ -336,7 +343,11 @@
             # The last chunk is missing, so the client sees an incomplete response.
             self._transport.abort()
             raise
-        self._transport.write(b"0\r\n\r\n")
+        self._write(b"0\r\n\r\n")
+
+    def _write(self, data):
+        self._transport.write(data)
+        self._output.watch()
 
     def _open_pipe(self, request, data):
         """Start the handler of a request with a long body before it is complete."""
@@ -397,7 +408,22 @@
         self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._loop.call_later(LINGER_SECONDS, self._transport.close)
+        self._loop.call_later(LINGER_SECONDS, self._close_when_taken)
+
+    def _close_when_taken(self):
+        """Close the connection once the client has taken everything sent to it."""
+        if self._is_disconnected:
+            return
+        if self._output.is_empty:
+            self._transport.close()
+            return
+        self._output.watch()
+        self._loop.call_later(CLOSE_POLL_SECONDS, self._close_when_taken)
+
+    def close_now(self):
+        """Close the connection; the kernel delivers what the client has not taken."""
+        self._output.release()
+        self._transport.close()
 
     def _abandon(self, request):
         if request.pipe is not None:
@@ -454,6 +480,9 @@
             else:
                 self._transport.pause_reading()
 
+    def _get_stall_limit(self):
+        return self._listener.limits.idle_timeout
+
     def _log_cut_answer(self, error):
         """Log that the connection ended with output that the client has not taken."""
         state = read_output_state(self._transport.get_extra_info("socket"))
@@ -493,7 +522,8 @@
                 self._transport.abort()
         elif not self._requests:
             idle = limits.idle_timeout + IDLE_MARGIN_SECONDS
-            if is_stopping or now - self.last_active > idle:
+            is_due = is_stopping or now - self.last_active > idle
+            if is_due and self._output.is_empty:
                 self._transport.close()
 
 
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -31,6 +31,7 @@
 )
 from ragworthoist.net.handshake import Handshake
 from ragworthoist.net.liveness import PeerLiveness, Verdict
+from ragworthoist.net.output import OutputMonitor
 from ragworthoist.net.sockets import set_socket_timeouts
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
@@ -59,6 +60,7 @@
     def __init__(self, node, is_initiator, on_open=None):
         self._loop = asyncio.get_running_loop()
         self._transport = None
+        self._output = None
         self._node = node
         self._is_initiator = is_initiator
         self._on_open = on_open
@@ -84,6 +86,7 @@
         """Start the handshake."""
         self._transport = transport
         set_socket_timeouts(transport.get_extra_info("socket"))
+        self._output = OutputMonitor(self._loop, transport)
         self._handshake_timer = self._loop.call_later(
             HANDSHAKE_TIMEOUT_SECONDS, self._abort_handshake
         )
@@ -109,6 +112,7 @@
 
     def connection_lost(self, _error):
         """Set the outcome of every call in progress."""
+        self._output.stop()
         self._end()
 
     def pause_writing(self):
@@ -283,6 +287,7 @@
             return
         # The transport combines the writes of one event loop iteration.
         self._transport.write(self._packer.pack(frame))
+        self._output.watch()
 
     def _start(self, coroutine):
         task = self._loop.create_task(coroutine)
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -24,10 +24,13 @@
     IDLE_CHECK_DELAY_SECONDS,
     UNRESPONSIVE_AFTER_SECONDS,
 )
+from ragworthoist.net.sockets import USER_TIMEOUT_MS
 from ragworthoist.net.streams import PeerStream
 
 KEY = b"k" * 32
 HANG_SECONDS = 120.0
+# Their bodies are larger than the receive buffer of a connection on loopback.
+CALLS_THAT_FILL_A_WINDOW = 60
 
 
 class FakeNode:
@@ -467,6 +470,35 @@
             assert answer.outcome is Outcome.COMPLETED
             assert ended_calls == []
 
+    def test_unsafe_call_to_a_peer_that_reads_nothing_for_seconds_is_answered(self):
+        """Guards against a reset of the streams to a peer that is only paused."""
+
+        async def scenario(stream, acceptor):
+            [inbound] = acceptor.streams
+            await inbound.established
+            answers = []
+
+            async def ask(number):
+                call = make_call(f"/{number}/0", bytes(200_000))
+                call.idempotent = False
+                answers.append(await stream.call(call))
+
+            async with anyio.create_task_group() as tasks:
+                inbound._transport.pause_reading()
+                for number in range(CALLS_THAT_FILL_A_WINDOW):
+                    tasks.start_soon(ask, number)
+                resumes_at = anyio.current_time() + USER_TIMEOUT_MS / 1000 + 1.0
+                while anyio.current_time() < resumes_at:
+                    stream.check(anyio.current_time())
+                    await anyio.sleep(0.05)
+                inbound._transport.resume_reading()
+            return answers
+
+        acceptor = PausedNode(b"accept00")
+        acceptor.resume.set()
+        answers = anyio.run(lambda: run_pair(scenario, acceptor=acceptor))
+        assert {answer.outcome for answer in answers} == {Outcome.COMPLETED}
+
     def test_call_on_a_silent_stream_ends_at_its_deadline(self):
         clock = FakeClock()
 
