Serve requests that a client sends ahead only as far as it takes their answers

Callers saw: nothing but a node that ends for its memory, and with it the requests of all clients of that node.

Cause: the request of an answer below 64 KB was taken off the connection once the answer was written to the transport, however much was unsent there; so more requests were read.

Why this works: respond() waits until the transport takes more, as it does for long answers.

--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -322,6 +322,12 @@
             if has_body:
                 parts.append(body)
             self._write(b"".join(parts))
+            if self._writable is not None and not should_close:
+                # The request counts as unanswered until then, which bounds how many
+                # further requests are read.
+                await self._writable
+                if self._is_disconnected:
+                    raise CallerGoneError
         request.has_responded = True
         if request.pipe is not None:
             request.pipe.discard()
--- a/tests/net/test_output.py
+++ b/tests/net/test_output.py
@@ -14,6 +14,7 @@
 
 from ragworthoist.core.routes import RequestLimits
 from ragworthoist.net import output
+from ragworthoist.net.bodies import HIGH_WATER_BYTES
 from ragworthoist.net.client import HttpClient
 from ragworthoist.net.listener import Listener
 from ragworthoist.net.output import CHECK_INTERVAL_SECONDS, OutputMonitor
@@ -141,6 +142,54 @@
         assert left[0] < limits.idle_timeout + 3 * CHECK_INTERVAL_SECONDS
 
 
+class TestPipelining:
+    """Guards against answers without end held for a client that reads none of them."""
+
+    @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+    def test_requests_are_served_only_as_far_as_their_answers_are_taken(self, method):
+        handled = 0
+
+        async def handle(request):
+            nonlocal handled
+            handled += 1
+            await request.respond(200, [(b"x", bytes(1000).hex().encode())], BODY)
+
+        async def run():
+            async with connect_slow_reader(handle) as (listener, client):
+                loop = asyncio.get_running_loop()
+                request = (GET % b"/").replace(b"GET", method)
+                sending = loop.create_task(loop.sock_sendall(client, request * 20_000))
+                await asyncio.sleep(1.0)
+                [connection] = listener.connections
+                buffered = connection._transport.get_write_buffer_size()
+                sending.cancel()
+                return buffered
+
+        assert asyncio.run(run()) < 2 * HIGH_WATER_BYTES
+        assert handled < 20_000
+
+    def test_all_requests_of_a_client_that_reads_late_are_answered(self):
+        count = 200
+
+        async def handle(request):
+            await request.respond(200, [], request.target + BODY)
+
+        async def run():
+            async with connect_slow_reader(handle) as (_, client):
+                loop = asyncio.get_running_loop()
+                requests = b"".join(GET % (b"/%d/" % n) for n in range(count))
+                sending = loop.create_task(loop.sock_sendall(client, requests))
+                await asyncio.sleep(0.5)
+                last = b"/%d/" % (count - 1) + BODY
+                received = await receive(client, until=last)
+                await sending
+                return received
+
+        received = asyncio.run(run())
+        positions = [received.index(b"/%d/" % n + BODY) for n in range(count)]
+        assert positions == sorted(positions)
+
+
 class TestSlowServer:
     """Guards against a reset of uploads whose server reads slowly but steadily."""
 
