Take a status outside the codes of HTTP for no response

Callers saw: on the edge for tickets, the status 000 (or 007, 101, 600, 999) of a server in trouble as their answer; on the edge for attempts, 600 and 999 likewise, and 504 at their time limit for 000.

Cause: the parsers accept any three digits; what was below 200 was skipped as informational on one edge, what was below 500 was passed on by the other.

Why this works: such a response ends its exchange as garbled, so that a call that may be repeated goes elsewhere, others end as unknown, and the connection is closed.

--- a/src/ragworthoist/net/backend.py
+++ b/src/ragworthoist/net/backend.py
@@ -4,6 +4,7 @@
 from yarl import URL
 
 from ragworthoist.core.entities import Answer, Outcome, Reason
+from ragworthoist.net.exchanges import MAX_STATUS
 from ragworthoist.net.frames import MAX_BODY_BYTES
 from ragworthoist.net.web import (
     DEADLINE_HEADER,
@@ -13,6 +14,8 @@
 )
 
 KEEPALIVE_SECONDS = 4.0
+# Smallest status of a final response. 101 is none, as no upgrade is offered.
+MIN_FINAL_STATUS = 200
 RETRYABLE_STATUSES = frozenset({502, 503, 504})
 _SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -102,6 +105,8 @@
     if body is None:
         return Answer(Outcome.UNKNOWN, Reason.TOO_LARGE, retryable=False)
     status = response.status
+    if not MIN_FINAL_STATUS <= status <= MAX_STATUS:
+        return Answer(Outcome.UNKNOWN, Reason.SERVER_GARBLED)
     if status == 503 and response.headers.get(NOT_RUN_HEADER.decode()) == token:
         return Answer(Outcome.NOT_RUN, Reason.SERVER_REFUSED, status)
     headers = forward_headers(
--- a/src/ragworthoist/net/exchanges.py
+++ b/src/ragworthoist/net/exchanges.py
@@ -26,6 +26,9 @@
 MAX_UNDELIVERED_BYTES = 256 * 1024
 # The framing of a chunk with an ordinary extension.
 CHUNK_FRAMING_BYTES = 32
+# Range of the status codes of HTTP.
+MIN_STATUS = 100
+MAX_STATUS = 599
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -232,6 +235,10 @@
         if message is None:
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            # Nothing tells how such a message is framed, or which request it answers.
+            self._fail(GarbledResponseError(f"status {status:03d}"))
+            return
         if status < 200:
             message.is_skipped = True
             return
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -310,6 +310,17 @@
         # What the sockets buffer on both sides is sent besides.
         assert sent < 32 * 1024 * 1024
 
+    @pytest.mark.parametrize("later", [b"", make_response()], ids=["alone", "before"])
+    @pytest.mark.parametrize("status", [b"000", b"007", b"099", b"600", b"999"])
+    def test_response_with_a_status_outside_the_protocol_fails_the_request_at_once(
+        self, status, later
+    ):
+        """Guards against waiting for the deadline, and against passing it on."""
+        answer = make_response().replace(b"200", status, 1)
+        second = make_response(b"second", b"2")
+        results, made = run_script([answer + later], [second], requests=2)
+        assert (results, made) == ([GarbledResponseError, b"second"], 2)
+
     def test_long_body_in_tiny_chunks_is_delivered(self):
         head = b"HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n"
         body = b"1;ext=1\r\nx\r\n" * 60_000 + b"0\r\n\r\n"
