Let tiny chunks of a body allow for no further framing after it

Callers saw: nothing until a node ran out of memory; then all of its clients lost their requests.

Cause: the allowance of 32 bytes of framing for each chunk was added up, also where a chunk needs only 6, so that the counters of other bytes became negative. For long requests, a refusal for the size of trailers besides waited for a handler that nothing ended.

Evidence: 13,930,007 bytes of trailers were kept after 500,000 chunks of one byte from a server; a request with a trailer without end got no refusal, nor did one with many.

Why this works: both counters stay at 0 or above, and the refusal cuts the body of the request.

--- a/src/ragworthoist/net/exchanges.py
+++ b/src/ragworthoist/net/exchanges.py
@@ -264,7 +264,8 @@
         message = self._message
         if message is None or message.is_skipped:
             return
-        self._undelivered_bytes -= len(data) + CHUNK_FRAMING_BYTES
+        delivered = len(data) + CHUNK_FRAMING_BYTES
+        self._undelivered_bytes = max(0, self._undelivered_bytes - delivered)
         if message.pipe is None:
             message.parts.append(data)
             message.size += len(data)
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -224,7 +224,11 @@
             self._expects_continue = value.lower() == b"100-continue"
         self._head_bytes += len(name) + len(value) + 4
         if self._head_bytes > self._listener.limits.max_head_bytes:
-            self._refuse(431)
+            # A trailer, if the request has begun.
+            if self._current is None:
+                self._refuse(431)
+            else:
+                self._refuse_body(431)
 
     def on_headers_complete(self):
         """Check the head of a request against the limits."""
@@ -254,7 +258,8 @@
         if self._is_refused or request is None:
             return
         self._body_bytes += len(data)
-        self._framing_bytes -= len(data) + CHUNK_FRAMING_BYTES
+        received = len(data) + CHUNK_FRAMING_BYTES
+        self._framing_bytes = max(0, self._framing_bytes - received)
         if self._body_bytes > self._listener.limits.max_body_bytes:
             self._refuse_body(413)
         elif request.pipe is not None:
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -18,9 +19,12 @@
 )
 from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
 from ragworthoist.net.client import HttpClient
+from ragworthoist.net.exchanges import MAX_UNDELIVERED_BYTES
 from ragworthoist.net.web import find_header
 
 HANG_SECONDS = 60.0
+# Largest read of an event loop.
+MAX_READ_BYTES = 256 * 1024
 HEAD = b"GET / HTTP/1.1\r\nhost: a\r\nid: %s\r\n\r\n"
 
 
@@ -321,6 +325,81 @@
         results, made = run_script([answer + later], [second], requests=2)
         assert (results, made) == ([GarbledResponseError, b"second"], 2)
 
+    @pytest.mark.parametrize(
+        "start",
+        [b"", b"1\r\nx\r\n" * 500_000],
+        ids=["at once", "after a body in tiny chunks"],
+    )
+    def test_trailers_without_end_are_not_kept(self, start):
+        """Framing of tiny chunks must not allow for that many bytes of trailers."""
+        kept = []
+
+        async def send_without_end(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            writer.write(head + start + b"0\r\n")
+            with contextlib.suppress(OSError):
+                while True:
+                    writer.write(b"x: %b\r\n" % (b"y" * 1000) * 10)
+                    await writer.drain()
+            writer.close()
+
+        async def run():
+            server = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()[:2]
+            async with asyncio.timeout(HANG_SECONDS), HttpClient(address) as client:
+                with pytest.raises((GarbledResponseError, BodyCutError)):
+                    response = await client.send(HEAD % b"1")
+                    kept.append(response.headers)
+                    await read_body(response)
+            server.close()
+
+        asyncio.run(run())
+        size = sum(len(value) for headers in kept for _, value in headers)
+        # The reads in which the body ends and the limit is passed may hold more.
+        assert size <= MAX_UNDELIVERED_BYTES + 2 * MAX_READ_BYTES
+
+    @pytest.mark.parametrize(
+        ("framing", "block"),
+        [
+            (b"", bytes(4096)),
+            (b"content-length: 1000000000\r\n", bytes(4096)),
+            (b"transfer-encoding: chunked\r\n", b"1000\r\n" + bytes(4096) + b"\r\n"),
+        ],
+        ids=["until the end", "length", "chunked"],
+    )
+    def test_body_without_end_is_received_only_as_far_as_it_is_read(
+        self, framing, block
+    ):
+        """Guards against keeping all of it for a client that reads slowly."""
+        held = []
+
+        async def send_without_end(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n")
+            with contextlib.suppress(OSError):
+                while True:
+                    writer.write(block)
+                    await writer.drain()
+            writer.close()
+
+        async def run():
+            server = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()[:2]
+            async with asyncio.timeout(HANG_SECONDS), HttpClient(address) as client:
+                response = await client.send(HEAD % b"1")
+                for _ in range(20):
+                    await response.body.read()
+                    await asyncio.sleep(0.01)
+                    held.append(response.body._size)
+                response.body.discard()
+                while client._open:
+                    await asyncio.sleep(0)
+            server.close()
+
+        asyncio.run(run())
+        assert max(held) <= HIGH_WATER_BYTES + 2 * MAX_READ_BYTES
+
     def test_long_body_in_tiny_chunks_is_delivered(self):
         head = b"HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n"
         body = b"1;ext=1\r\nx\r\n" * 60_000 + b"0\r\n\r\n"
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -15,8 +15,11 @@
 from ragworthoist.exceptions import BodyCutError
 from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
 from ragworthoist.net.listener import Listener
+from ragworthoist.net.requests import MAX_FRAMING_BYTES
 
 HANG_SECONDS = 60.0
+# Largest read of an event loop.
+MAX_READ_BYTES = 256 * 1024
 LIMITS = RequestLimits(
     max_head_bytes=2000, max_body_bytes=200_000, head_timeout=60.0, idle_timeout=60.0
 )
@@ -139,6 +142,38 @@
         assert answer.startswith(b"HTTP/1.1 400 ")
         assert answer.count(b"HTTP/1.1") == 1
 
+    @pytest.mark.parametrize(
+        ("more", "status"),
+        [(b"x: %b\r\n" % (b"y" * 1000) * 10, 431), (b"y" * 10_000, 400)],
+        ids=["lines", "one line"],
+    )
+    def test_trailers_without_end_after_a_long_body_are_refused(self, more, status):
+        """Guards against a connection that is kept, or whose bytes are kept, for them.
+
+        The body is in tiny chunks, whose framing must not allow for more trailers.
+        """
+        head = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        sent = 0
+
+        async def handle(request):
+            while await request.body.read():
+                pass
+
+        async def run():
+            nonlocal sent
+            async with serve(handle) as (_, reader, writer):
+                writer.write(head + b"1\r\nx\r\n" * (LIMITS.max_body_bytes - 1))
+                await writer.drain()
+                writer.write(b"0\r\n")
+                reading = asyncio.create_task(reader.read())
+                while sent < MAX_FRAMING_BYTES + 4 * MAX_READ_BYTES:
+                    writer.write(more)
+                    sent += len(more)
+                    await writer.drain()
+                return await asyncio.wait_for(reading, HANG_SECONDS / 10)
+
+        assert asyncio.run(run()).startswith(b"HTTP/1.1 %d " % status)
+
     @pytest.mark.parametrize("behaviour", ["waits", "answers"])
     def test_refusal_of_an_oversized_body_is_the_only_response(self, behaviour):
         chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
