Add clients that read their answers late to the soak

The soak's clients read as fast as they can, so it could not find that slow readers were reset. One client at each node now has a small receive buffer and begins to read 2.6 s after sending.

--- a/src/ragworthoist_lab/attempt_clients.py
+++ b/src/ragworthoist_lab/attempt_clients.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from contextlib import closing
 from dataclasses import dataclass
@@ -18,6 +19,9 @@
 PATIENCE_SECONDS = 2.0
 CONNECT_RETRY_SECONDS = 0.05
 LONG_BODY_BYTES = 150_000
+# Longer than a node may take a peer for lost that acknowledges nothing.
+READING_DELAY_SECONDS = 2.6
+LATE_READER_BUFFER_BYTES = 8192
 _TARGETS = {
     # Whether the attempt may be repeated, by the target of its route.
     ("GET", "/shop/a"): True,
@@ -45,6 +49,8 @@
         What the answer says of its server: "leaving" or "rate".
     server : str
         Id of the server that answered, empty if the node did.
+    reads_late : bool
+        Whether the client began to read only `READING_DELAY_SECONDS` after sending.
     """
 
     attempt: str
@@ -58,6 +64,25 @@
     is_whole: bool = False
     notices: frozenset = frozenset()
     server: str = ""
+    reads_late: bool = False
+
+
+async def _connect(port, reads_late):
+    """Return the reader and writer of a new connection.
+
+    One that `reads_late` takes little of an answer before it is read.
+    """
+    if not reads_late:
+        return await asyncio.open_connection("127.0.0.1", port)
+    sock = socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LATE_READER_BUFFER_BYTES)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+        return await asyncio.open_connection(sock=sock, limit=LATE_READER_BUFFER_BYTES)
+    except BaseException:
+        sock.close()
+        raise
 
 
 class AttemptClient:
@@ -73,14 +98,18 @@
         Prefix of the ids of the attempts.
     pause_seconds : float
         Mean time between an answer and the next attempt.
+    reads_late : bool
+        Whether the client has a small receive buffer, and begins to read each answer,
+        all of which are long, `READING_DELAY_SECONDS` after sending.
     """
 
-    def __init__(self, port, place, name, pause_seconds):
+    def __init__(self, port, place, name, pause_seconds, reads_late=False):
         self.results = []
         self._port = port
         self._place = place
         self._name = name
         self._pause_seconds = pause_seconds
+        self._reads_late = reads_late
         self._draws = random.Random(name)
         self._is_stopped = False
 
@@ -93,7 +122,7 @@
         while not self._is_stopped:
             try:
                 async with asyncio.timeout(CLIENT_TIMEOUT_SECONDS):
-                    streams = await asyncio.open_connection("127.0.0.1", self._port)
+                    streams = await _connect(self._port, self._reads_late)
             except (OSError, TimeoutError):
                 await asyncio.sleep(CONNECT_RETRY_SECONDS)
                 continue
@@ -109,15 +138,18 @@
     async def _send_attempt(self, reader, writer):
         """Send one attempt and record it; return whether the connection is kept."""
         method, target = self._draws.choice(list(_TARGETS))
+        if self._reads_late:
+            method, target = "POST", "/order/c"
         attempt = f"{self._name}-{len(self.results)}"
         body = b""
         if method == "POST":
             body = attempt.encode()
-            if self._draws.random() < 0.2:
+            if self._reads_late or self._draws.random() < 0.2:
                 body *= LONG_BODY_BYTES // len(body)
         result = AttemptResult(
             attempt, self._place, target, _TARGETS[method, target], time.monotonic()
         )
+        result.reads_late = self._reads_late
         self.results.append(result)
         head = (
             f"{method} {target} HTTP/1.1\r\nhost: {VIRTUAL_HOST}\r\n"
@@ -127,6 +159,8 @@
         try:
             async with asyncio.timeout(CLIENT_TIMEOUT_SECONDS + PATIENCE_SECONDS):
                 writer.write(head.encode() + body)
+                if self._reads_late:
+                    await asyncio.sleep(READING_DELAY_SECONDS)
                 return await _read_answer(reader, result, body[::-1])
         except (OSError, EOFError, TimeoutError):
             return False
--- a/src/ragworthoist_lab/promises.py
+++ b/src/ragworthoist_lab/promises.py
@@ -121,6 +121,18 @@
             yield f"{result.attempt} ran and got no answer"
 
 
+@promises.register("a client that reads late gets its whole answer")
+def check_late_readers(log):
+    """Yield attempts of a calm fleet that ran and whose answer was cut."""
+    runs = log.count_runs()
+    for result in log.results:
+        if not result.reads_late or result.sent_at < log.calm_since:
+            continue
+        if runs[result.attempt] and not result.is_whole:
+            waited = result.ended_at - result.sent_at
+            yield f"{result.attempt} ran and was cut after {waited:.1f} s"
+
+
 @promises.register("a planned stop ends within its grace")
 def check_stops(log):
     """Yield planned stops that had to be ended by a kill."""
--- a/src/ragworthoist_lab/soak.py
+++ b/src/ragworthoist_lab/soak.py
@@ -26,9 +26,11 @@
         "priority": 0,
     },
 }
-CLIENTS_PER_NODE = 3
+CLIENTS_PER_NODE = 4
+# The first clients of each node read their answers late.
+LATE_READERS_PER_NODE = 1
 MEAN_PAUSE_SECONDS = 0.1
-CALM_SECONDS = 4.0
+CALM_SECONDS = 6.0
 PROGRESS_SECONDS = 10.0
 
 
@@ -79,6 +81,7 @@
                 place,
                 f"{seed}-{place}-{number}",
                 MEAN_PAUSE_SECONDS,
+                reads_late=number < LATE_READERS_PER_NODE,
             )
             for place, endpoint in enumerate(mesh.endpoints)
             for number in range(CLIENTS_PER_NODE)
--- a/tests/lab/test_promises.py
+++ b/tests/lab/test_promises.py
@@ -46,6 +46,7 @@
     return results, journal
 
 
+CUT = {"is_whole": False, "is_complete": False}
 CALM = [make_result("calm", CALM_SINCE + 1.0)], arrive("calm", CALM_SINCE, "i-2")
 MOVES = [(10.0, "shop"), (20.0, "stock")]
 
@@ -102,6 +103,8 @@
             "",
         ),
         ([make_result("late", CALM_SINCE + 2.0, 502)], [], [], "without disturbances"),
+        ([make_result(reads_late=True, is_whole=False)], arrive(), [], "whole answer"),
+        ([make_result(reads_late=True, **CUT)], arrive(), [], ""),
     ],
 )
 def test_violations(results, journal, spans, broken):
@@ -127,6 +130,15 @@
     assert len(find_violations(log)) == is_broken
 
 
+def test_a_cut_answer_of_a_late_reader_breaks_a_promise_in_a_calm_fleet():
+    late = make_result("late", CALM_SINCE + 1.0, reads_late=True, **CUT)
+    others = [make_result(f"calm{n}", CALM_SINCE + 1.0) for n in range(200)]
+    journal = arrive("late", CALM_SINCE + 1.0)
+    log = SoakLog([late, *others], journal, [], MOVES, RATES, CALM_SINCE)
+    [violation] = find_violations(log)
+    assert "reads late" in violation
+
+
 def test_a_soak_without_calm_requests_is_a_violation():
     assert len(find_violations(SoakLog([], [], [], [], [], CALM_SINCE))) == 1
-    assert len(promises.names()) == 9
+    assert len(promises.names()) == 10
