Refuse answers of etcd that are longer than any it gives

Callers saw: nothing until a node of the tickets' edge ran out of memory, with all its customers.

Cause: the client read an answer, or a line of a watch, to its end however long it was, with a time limit only for each read.

Why this works: bodies are read in parts and given up at 8 MiB, the limit of the other store's client, as a response that violates the protocol, which the callers of the store handle already.

--- a/src/ragworthoist/store/etcd.py
+++ b/src/ragworthoist/store/etcd.py
@@ -8,6 +8,9 @@
 from ragworthoist.exceptions import StoreResponseError, StoreUnavailableError
 from ragworthoist.store import StoredValue, stores
 
+# Longest answer of the store, and longest line of a watch, in bytes.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
 
 def _encode(text):
     raw = text if isinstance(text, bytes) else text.encode()
@@ -48,7 +51,8 @@
         effect.
     StoreResponseError
         By every method but `watch`, if the store answered with a status below 500
-        other than 200.
+        other than 200; by every method, if an answer or a line of the watch is longer
+        than `MAX_ANSWER_BYTES`.
     """
 
     def __init__(self, settings):
@@ -117,7 +121,7 @@
             async with self._client.stream(
                 "POST", "/v3/watch", json=body, timeout=timeout
             ) as response:
-                async for line in response.aiter_lines():
+                async for line in _iterate_lines(response):
                     for event in json.loads(line).get("result", {}).get("events", []):
                         if "mod_revision" in event.get("kv", {}):
                             yield _unpack(event["kv"])
@@ -126,11 +130,45 @@
 
     async def _post(self, operation, path, body):
         try:
-            response = await self._client.post(path, json=body)
+            async with self._client.stream("POST", path, json=body) as response:
+                content = await _read(response)
         except httpx.HTTPError as error:
             raise StoreUnavailableError(operation, repr(error)) from None
+        if content is None:
+            raise StoreResponseError(operation, response.status_code)
         if response.status_code >= 500:
             raise StoreUnavailableError(operation, f"status {response.status_code}")
         if response.status_code != 200:
             raise StoreResponseError(operation, response.status_code)
-        return response.json()
+        return json.loads(content)
+
+
+async def _read(response):
+    """Return the body, or None if it is longer than `MAX_ANSWER_BYTES`."""
+    content = bytearray()
+    async for part in response.aiter_bytes():
+        content += part
+        if len(content) > MAX_ANSWER_BYTES:
+            return None
+    return bytes(content)
+
+
+async def _iterate_lines(response):
+    """Yield the lines of the body, without their ends.
+
+    Raises
+    ------
+    StoreResponseError
+        If a line is longer than `MAX_ANSWER_BYTES`.
+    """
+    rest = bytearray()
+    async for part in response.aiter_bytes():
+        rest += part
+        if b"\n" in part:
+            *lines, rest = rest.split(b"\n")
+            for line in lines:
+                yield line
+        if len(rest) > MAX_ANSWER_BYTES:
+            raise StoreResponseError("watch", response.status_code)
+    if rest:
+        yield rest
