Give what is sent into a window that has just opened its own time

A connection whose receive window had been closed for 2 s and more was taken for lost if it was checked between the opening of the window and the next acknowledgement. The time of bytes in flight now starts no earlier than the window was last seen closed.

A client that closes its side while it still reads the last answer slowly is also left to the default limits of the kernel, as on the other ways to close.

--- a/src/ragworthoist/net/liveness.py
+++ b/src/ragworthoist/net/liveness.py
@@ -107,12 +107,13 @@
     were sent must be acknowledged.
     """
 
-    __slots__ = ("_acknowledged_bytes", "_buffered_bytes", "_progressed_at",
-                 "_unanswered_since")  # fmt: skip
+    __slots__ = ("_acknowledged_bytes", "_buffered_bytes", "_closed_at",
+                 "_progressed_at", "_unanswered_since")  # fmt: skip
 
     def __init__(self):
         self._acknowledged_bytes = 0
         self._buffered_bytes = 0
+        self._closed_at = float("-inf")
         self._progressed_at = 0.0
         self._unanswered_since = None
 
@@ -146,7 +147,9 @@
     @property
     def lost_at(self):
         """Time at which a peer that acknowledges nothing from now on is lost."""
-        return self._progressed_at + ACKNOWLEDGE_TIMEOUT_SECONDS
+        # What is sent when the window opens has its own time to be acknowledged.
+        waiting_since = max(self._progressed_at, self._closed_at)
+        return waiting_since + ACKNOWLEDGE_TIMEOUT_SECONDS
 
     def _record_progress(self, now, state):
         if state.acknowledged_bytes != self._acknowledged_bytes:
@@ -160,10 +163,8 @@
     def _is_lost(self, now, state):
         if not state.is_window_closed:
             self._unanswered_since = None
-            return (
-                state.segments_in_flight > 0
-                and now - self._progressed_at >= ACKNOWLEDGE_TIMEOUT_SECONDS
-            )
+            return state.segments_in_flight > 0 and now >= self.lost_at
+        self._closed_at = now
         if state.segments_in_flight:
             # Segments that the peer had no room for are sent again as probes.
             return state.silent_seconds >= ACKNOWLEDGE_TIMEOUT_SECONDS
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -157,7 +157,7 @@
     def eof_received(self):
         """Close the connection once the client has closed its side."""
         if self._is_closing or self._is_refused:
-            self._transport.close()
+            self.close_now()
             return False
         # The client no longer waits for responses.
         self._transport.abort()
--- a/tests/net/test_liveness.py
+++ b/tests/net/test_liveness.py
@@ -108,6 +108,12 @@
             ([(TIMEOUT, in_flight(TIMEOUT, window=0))], [LOST]),
             # A peer that reads nothing answers probes, but not all of them.
             ([(t, closed(probes=t % 2)) for t in range(1, 9)], [WAITING] * 8),
+            # The window has just opened, and what was sent into it is not acknowledged.
+            ([(3.0, closed()), (3.1, in_flight(0.1))], [WAITING, WAITING]),
+            (
+                [(3.0, closed()), (3.1, in_flight(0.1)), (3.0 + TIMEOUT, in_flight(2))],
+                [WAITING, WAITING, LOST],
+            ),
             (
                 [(1.0, closed(1)), (1.1 + PROBE_TIMEOUT_SECONDS, closed(2))],
                 [WAITING, LOST],
@@ -137,7 +143,8 @@
         ],
         ids=[
             "empty", "in flight", "late progress", "no progress", "data of the peer",
-            "shrunk window", "shrunk window, lost", "slow", "lost", "read on",
+            "shrunk window", "shrunk window, lost", "slow", "just opened",
+            "just opened, lost", "lost", "read on",
             "emptied", "stalled", "stalled after progress",
         ],
     )  # fmt: skip
