Show on real connections that silent ones are noticed as soon as before

A packet filter on the socket of the other end drops all that arrives, so that its kernel acknowledges nothing. Noticed, with the user timeout and now: 2.4 s and 2.0 s with bytes in flight, 1.8 s and 1.8 s with a closed receive window, 3.0 s and 3.1 s while idle.

--- a/tests/net/test_output.py
+++ b/tests/net/test_output.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import ctypes
 import socket
+import struct
 from contextlib import asynccontextmanager
 
 import anyio
@@ -17,8 +19,12 @@
 from ragworthoist.net.bodies import HIGH_WATER_BYTES
 from ragworthoist.net.client import HttpClient
 from ragworthoist.net.listener import Listener
+from ragworthoist.net.liveness import PROBE_TIMEOUT_SECONDS
 from ragworthoist.net.output import CHECK_INTERVAL_SECONDS, OutputMonitor
 from ragworthoist.net.sockets import (
+    KEEPALIVE_IDLE_SECONDS,
+    KEEPALIVE_INTERVAL_SECONDS,
+    PROBE_INTERVAL_MS,
     USER_TIMEOUT_MS,
     OutputState,
     read_output_state,
@@ -27,6 +33,9 @@
 
 HANG_SECONDS = 60.0
 RECEIVE_BUFFER_BYTES = 8192
+# The instruction of a packet filter that returns how much of a packet is kept.
+BPF_RETURN = 0x06
+SO_ATTACH_FILTER = 26  # the socket module has no name for it
 # Longer than the kernel waits for a closed receive window under the user timeout.
 UNREAD_SECONDS = USER_TIMEOUT_MS / 1000 + 1.0
 BODY = bytes(range(250)) * 120
@@ -142,6 +151,66 @@
         assert left[0] < limits.idle_timeout + 3 * CHECK_INTERVAL_SECONDS
 
 
+def silence(sock):
+    """Drop all segments that arrive at `sock`, so that its kernel acknowledges none."""
+    code = ctypes.create_string_buffer(struct.pack("HBBI", BPF_RETURN, 0, 0, 0))
+    program = struct.pack("HL", 1, ctypes.addressof(code))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
+class TestSilentPeer:
+    """Guards against a later notice of connections that go silent without a reset."""
+
+    @pytest.mark.parametrize(
+        ("body", "limit_seconds"),
+        [
+            # As with the user timeout: 2 s without an acknowledgement.
+            (BODY[:1000], USER_TIMEOUT_MS / 1000 + 0.5),
+            # A probe a second, its time limit, and the interval of the checks.
+            (BODY, PROBE_INTERVAL_MS / 1000 + PROBE_TIMEOUT_SECONDS + 0.75),
+        ],
+        ids=["window open", "window closed"],
+    )
+    @pytest.mark.parametrize("closes", [False, True], ids=["kept", "closing"])
+    def test_output_to_it_ends_the_connection_in_time(
+        self, closes, body, limit_seconds
+    ):
+        may_respond = asyncio.Event()
+
+        async def handle(request):
+            if len(body) < len(BODY):
+                await may_respond.wait()
+            await request.respond(200, [], body, close=closes)
+
+        async def run():
+            async with connect_slow_reader(handle) as (listener, client):
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(client, GET % b"/")
+                await asyncio.sleep(0.5)
+                silence(client)
+                may_respond.set()
+                started = loop.time()
+                while listener.connections:
+                    await asyncio.sleep(0.01)
+                return loop.time() - started
+
+        assert asyncio.run(run()) < limit_seconds
+
+    def test_idle_connection_ends_in_time(self):
+        async def run():
+            async with connect_slow_reader(None) as (listener, client):
+                while not listener.connections:
+                    await asyncio.sleep(0.01)
+                silence(client)
+                started = asyncio.get_running_loop().time()
+                while listener.connections:
+                    await asyncio.sleep(0.01)
+                return asyncio.get_running_loop().time() - started
+
+        limit = KEEPALIVE_IDLE_SECONDS + KEEPALIVE_INTERVAL_SECONDS
+        assert asyncio.run(run()) < limit + 0.5
+
+
 class TestPipelining:
     """Guards against answers without end held for a client that reads none of them."""
 
