--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,110 @@
+"""The node of one of two machines of a service is stopped as planned.
+
+Requests of clients of another machine are being answered there, with answers that take
+four seconds and end well before the grace of the stop does.
+"""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins_2"))
+
+from loopback import (  # noqa: E402
+    GRACE_SECONDS,
+    RESTART_DELAY_SECONDS,
+    Client,
+    Counter,
+    Lab,
+    asyncio,
+    new_attempt,
+    run_case,
+    signal,
+    time,
+)
+
+PIECE = bytes(16_384)
+PIECES = 20
+ANSWER_SECONDS = 4.0
+CLIENTS = 16
+STOP_AFTER_SECONDS = 0.8
+ALLOWED = 3
+
+
+async def run(_endpoint, request):
+    """Answer a short request at once, and a long one in pieces."""
+    if request.target.startswith("/stock/"):
+        await asyncio.sleep(0.02)
+        request.write_answer(b"in stock")
+        return
+    request.write_head(
+        200, [("server-seal", "lab"), ("content-length", str(PIECES * len(PIECE)))]
+    )
+    for _ in range(PIECES):
+        request.writer.write(PIECE)
+        await request.writer.drain()
+        await asyncio.sleep(ANSWER_SECONDS / PIECES)
+
+
+async def play(record, has_trouble):
+    async with Lab({"shop": 1, "stock": 2}, run, slots=248) as lab:
+        lab.configure(
+            {
+                "/stock/": {"service": "stock"},
+                "/order/": {"service": "stock", "routeKind": "unsafe"},
+            }
+        )
+        await lab.wait_until_ready()
+        entrance = lab.of("shop")[0]
+        clients = [Client(entrance) for _ in range(CLIENTS)]
+        for client in clients:
+            # From here on the connection is a kept one.
+            answer = await client.send("GET", "/stock/a", new_attempt())
+            if answer.status != 200:
+                raise RuntimeError(f"not served before the stop: {answer.status}")
+        tasks = [
+            asyncio.create_task(client.send("POST", "/order/a", new_attempt(), b"roll"))
+            for client in clients
+        ]
+        await asyncio.sleep(STOP_AFTER_SECONDS)
+        used = Counter(
+            r.endpoint.machine.name
+            for r in lab.arrivals
+            if r.target.startswith("/order/")
+        )
+        record.write(f"requests that are being answered, by machine: {dict(used)}")
+        stopped = max(lab.of("stock"), key=lambda machine: used[machine.name])
+        stopped_at = time.monotonic()
+        if has_trouble:
+            stopped.signal(signal.SIGTERM)
+            record.write(f"SIGTERM to the node of {stopped.name}")
+            code = await stopped.wait_for_exit(GRACE_SECONDS)
+            if code is None:
+                stopped.signal(signal.SIGKILL)
+            after = time.monotonic() - stopped_at
+            record.write(f"node ended with code {code} after {after:.2f} s")
+            await asyncio.sleep(RESTART_DELAY_SECONDS)
+            stopped.start_node()
+        answers = await asyncio.gather(*tasks)
+        return judge(lab, record, answers, stopped_at)
+
+
+def judge(lab, record, answers, stopped_at):
+    """Return whether LOST was broken."""
+    places = {r.attempt: r for r in lab.arrivals}
+    lost = 0
+    for answer in answers:
+        request = places.get(answer.attempt)
+        is_passed_on = request is not None
+        ended = answer.ended_at - stopped_at
+        record.write(
+            f"{answer.attempt} at {request.endpoint.machine.name if request else '-'}: "
+            f"status {answer.status}, {len(answer.body)} bytes, whole "
+            f"{answer.is_complete}, {answer.error or 'no error'}, "
+            f"{ended:.2f} s after the stop"
+        )
+        lost += is_passed_on and not answer.is_complete
+    record.write(f"{lost} of {len(answers)} lost, {ALLOWED} are allowed")
+    return lost > ALLOWED
+
+
+run_case(Path(__file__).parent, play)
