--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,16 +1,16 @@
-"""Some answers of faulty endpoints go on without end.
+"""Some answers of a faulty endpoint go on without end.
 
-For five seconds, endpoints that are in trouble spoil a part of their answers: the body
-has no end and goes on until the caller closes.
+For five seconds, one of two endpoints is in trouble and spoils a part of its answers:
+the body has no end and goes on until the caller closes.
 """
 
 import random
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins_2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from loopback import (  # noqa: E402
+from standins_2 import (  # noqa: E402
     Client,
     Counter,
     Lab,
@@ -36,11 +36,14 @@
 class Faults:
     def __init__(self):
         self.is_on = False
+        # One of the two endpoints.
+        self.endpoint = None
         self.draws = random.Random(8)
 
-    async def run(self, _endpoint, request):
+    async def run(self, endpoint, request):
         await asyncio.sleep(0.02)
-        if not self.is_on or self.draws.random() >= FAULTY_SHARE:
+        is_faulty = self.is_on and endpoint is self.endpoint
+        if not is_faulty or self.draws.random() >= FAULTY_SHARE:
             request.write_answer(WHOLE)
             return
         request.is_faulty = True
@@ -61,10 +64,11 @@
 
 async def play(record, has_trouble):
     faults = Faults()
-    async with Lab({"shop": 1, "stock": 2}, faults.run, slots=248) as lab:
+    async with Lab(record, {"shop": 1, "stock": 2}, faults.run, slots=248) as lab:
         lab.configure({"/stock/": {"service": "stock", "timeoutMs": TIMEOUT_MS}})
         await lab.wait_until_ready()
         entrance = lab.of("shop")[0]
+        faults.endpoint = lab.of("stock")[0].endpoint
         faults.is_on = has_trouble
         answers, tasks = [], []
         for _ in range(int(TROUBLE_SECONDS * REQUESTS_PER_SECOND)):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,9 +7,9 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins_2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from loopback import (  # noqa: E402
+from standins_2 import (  # noqa: E402
     DRAIN_MS,
     RESTART_DELAY_SECONDS,
     Client,
@@ -60,7 +60,7 @@
 
 
 async def play(record, has_trouble):
-    async with Lab({"shop": 1, "stock": 2}, run, slots=64) as lab:
+    async with Lab(record, {"shop": 1, "stock": 2}, run, slots=64) as lab:
         lab.configure({"/order/": {"service": "stock", "routeKind": "unsafe"}})
         await lab.wait_until_ready()
         play = Play(lab, record)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,9 +7,9 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins_2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from loopback import (  # noqa: E402
+from standins_2 import (  # noqa: E402
     Client,
     Counter,
     Lab,
@@ -23,7 +23,7 @@
 STABLE_SECONDS = 3.0
 CUT_AFTER_SECONDS = 0.5
 CHANGE_AFTER_SECONDS = 0.3
-CUT_SECONDS = 5.5
+CUT_SECONDS = 5.0
 PAUSE_SECONDS = 0.02
 CUT_MACHINES = 2
 WATCH_ROUNDS = 10
@@ -60,7 +60,7 @@
 
 
 async def play(record, has_trouble):
-    async with Lab({"shop": 2, "old": 2, "new": 2}, run, zones="a") as lab:
+    async with Lab(record, {"shop": 2, "old": 2, "new": 2}, run, zones="a") as lab:
         lab.configure({"/order/": {"service": "old", "routeKind": "unsafe"}})
         await lab.wait_until_ready()
         # All machines are in touch by then.
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,7 +9,7 @@
 
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 is needed")
-for pattern in ("standins_2/*.py", "[6-9]/*.py", "10/*.py"):
+for pattern in ("standins_2.py", "[6-9]/*.py", "10/*.py"):
     for path in sorted(Path(".").glob(pattern)):
         compile(path.read_text(), str(path), "exec")
 CHECK
--- a/review/standins_2/loopback.py
+++ b/review/standins_2.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -20,7 +21,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "lab.example"
 INTERNAL_PORTS = (7620, 7635)
 METRICS_PORT = 9464
@@ -30,6 +31,7 @@
 BEAT_SECONDS = 1.5
 RESTART_DELAY_SECONDS = 0.5
 CLOSE_POLL_SECONDS = 0.02
+BROKEN_STATUS = 3
 
 
 # Template of the settings, as the deployment page defines it.
@@ -254,10 +256,8 @@
             left = ends_at - time.monotonic()
             if found or left <= 0:
                 return 200, {"events": found, "at": self.revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left)
-            except TimeoutError:
-                pass
 
     def _run_transaction(self, body):
         for row in body.get("expect", ()):
@@ -453,6 +453,7 @@
         self.log_path = lab.folder / f"{name}.log"
         self.endpoint = None
         self.process = None
+        self.processes = []
 
     def write_settings(self, is_first):
         """Write the settings as the platform fills them in."""
@@ -498,6 +499,7 @@
                 ["python3", "target/app", str(self.settings_path)],
                 cwd=ROOT, env=environment, stdout=log, stderr=log,
             )  # fmt: skip
+        self.processes.append(self.process)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -554,12 +556,14 @@
         What endpoints do with a request, see `Endpoint`.
     """
 
-    def __init__(self, services, run, slots=64, zones="abc"):
+    def __init__(self, record, services, run, slots=64, zones="abc"):
+        self.record = record
         self.services = services
         self.run = run
         self.slots = slots
         self.machines = []
         self.arrivals = []
+        self.sent = []
         self.version = 0
         self.store = Store()
         self._directory = tempfile.TemporaryDirectory(prefix="review-2-")
@@ -581,25 +585,56 @@
                 )
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            self._stop()
+            raise
+        return self
+
+    async def __aexit__(self, *_exception):
+        self._stop()
+        self._write_traffic()
+
+    async def _start(self):
         await self.store.start(self.store_address, self.machines)
         for machine in self.machines:
             machine.endpoint = Endpoint(machine, self.run, self.slots)
             await machine.endpoint.start()
             machine.start_node(is_first=True)
-        return self
 
-    async def __aexit__(self, *_exception):
-        processes = [m.process for m in self.machines if m.process is not None]
+    def _stop(self):
+        """End every process that was started, and wait for it."""
+        processes = [process for m in self.machines for process in m.processes]
         for process in processes:
             if process.poll() is None:
                 process.kill()
         for process in processes:
             process.wait()
         for machine in self.machines:
-            machine.endpoint.close()
+            if machine.endpoint is not None:
+                machine.endpoint.close()
         self.store.close()
         self._directory.cleanup()
 
+    def _write_traffic(self):
+        """Write what was sent and answered, and what endpoints ran."""
+        for answer in sorted(self.sent, key=lambda answer: answer.sent_at):
+            end = "open" if answer.ended_at is None else self.record.at(answer.ended_at)
+            self.record.write(
+                f"sent {answer.attempt} at {self.record.at(answer.sent_at)} to "
+                f"{answer.machine.name}: status {answer.status}, "
+                f"whole {answer.is_complete}, {answer.error or 'no error'}, end {end}"
+            )
+        for request in self.arrivals:
+            ended = request.ended_at
+            end = "open" if ended is None else self.record.at(ended)
+            self.record.write(
+                f"run {request.attempt} at {self.record.at(request.started_at)} by "
+                f"{request.endpoint.id} of {request.endpoint.machine.name}: "
+                f"answered {request.is_answered}, end {end}"
+            )
+
     def of(self, service):
         return [m for m in self.machines if m.service == service]
 
@@ -669,8 +704,10 @@
 class Answer:
     """What a client saw of one attempt."""
 
-    def __init__(self, attempt):
+    def __init__(self, attempt, machine):
         self.attempt = attempt
+        self.machine = machine
+        machine.lab.sent.append(self)
         self.sent_at = time.monotonic()
         self.ended_at = None
         self.status = None
@@ -699,7 +736,7 @@
 
     async def send(self, method, target, attempt, body=b"", limit_ms=8000):
         """Send one attempt and return the `Answer`."""
-        answer = Answer(attempt)
+        answer = Answer(attempt, self.machine)
         try:
             async with asyncio.timeout(limit_ms / 1000 + 0.5):
                 if self.writer is None:
@@ -741,7 +778,7 @@
 
         Returns (`Answer`, time of the close). An attempt that ends before is kept.
         """
-        answer = Answer(attempt)
+        answer = Answer(attempt, self.machine)
         await self.connect()
         self.writer.write(make_head(method, target, attempt, b"", limit_ms))
         try:
@@ -776,6 +813,10 @@
         self._file = open(Path(folder) / "record.txt", "w")
         self._started = time.monotonic()
 
+    def at(self, moment):
+        """Return `moment`, of the monotonic clock, as seconds since the start."""
+        return f"{moment - self._started:.3f}"
+
     def write(self, text):
         line = f"{time.monotonic() - self._started:8.3f} {text}"
         print(line, file=self._file, flush=True)
@@ -785,15 +826,20 @@
 
 
 def run_case(folder, play):
-    """Run `play(record, has_trouble)` and exit: 1 broken, 0 held, 2 could not run."""
+    """Run `play(record, has_trouble)` and exit with 0, `BROKEN_STATUS` or 2.
+
+    `run.sh` turns `BROKEN_STATUS` into 1, with which Python also exits after an error.
+    """
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes that were started, as an interrupt does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with asyncio.Runner() as runner:
             is_broken = runner.run(_bound(play(record, has_trouble)))
-        code = 1 if is_broken else 0
+        code = BROKEN_STATUS if is_broken else 0
         record.write(f"result: the rule {'was broken' if is_broken else 'held'}")
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.write(f"result: the case could not run: {error!r}")
         code = 2
     record.close()
