--- a/src/ragworthoist_lab/fleet.py
+++ b/src/ragworthoist_lab/fleet.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -102,6 +103,8 @@
         processes when only the nodes are of interest.
     allow_partition : bool
         Run nodes that `partition` can disconnect from each other.
+    descriptor_limit : int, optional
+        Number of descriptors that each node may open.
     """
 
     services: list
@@ -113,6 +116,7 @@
     seed: int = 1
     share_servers: bool = False
     allow_partition: bool = False
+    descriptor_limit: int | None = None
     _directory: object = None
 
     def __enter__(self):
@@ -167,6 +171,7 @@
         command = [sys.executable, "-m", program, "node", endpoint.settings_path]
         endpoint.node = subprocess.Popen(command, stdout=log, stderr=log)
         log.close()
+        lower_descriptor_limit(endpoint.node, self.descriptor_limit)
 
     def wait_until_ready(self, endpoints=None):
         """Wait until the nodes serve and consider all running nodes alive.
@@ -367,6 +372,16 @@
     return request_json(url, headers={"authorization": f"Bearer {OPERATORS_TOKEN}"})
 
 
+def lower_descriptor_limit(process, limit):
+    """Let `process`, a child that has just started, open at most `limit` descriptors.
+
+    Nothing is changed if `limit` is None.
+    """
+    if limit is not None:
+        _, hard_limit = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (limit, hard_limit))
+
+
 def start_lab_process(*arguments):
     """Start a command of the load and experiment tool as a process."""
     command = [sys.executable, "-m", "ragworthoist_lab", *arguments]
--- a/src/ragworthoist_lab/mesh.py
+++ b/src/ragworthoist_lab/mesh.py
@@ -16,6 +16,7 @@
 
 from ragworthoist_lab.fleet import (
     find_free_ports,
+    lower_descriptor_limit,
     request_json,
     start_lab_process,
     wait_for_port,
@@ -60,9 +61,12 @@
     ----------
     services : dict
         Number of endpoints of each service.
+    descriptor_limit : int, optional
+        Number of descriptors that each node may open.
     """
 
     services: dict
+    descriptor_limit: int | None = None
     endpoints: list = field(default_factory=list)
     store: subprocess.Popen = None
     store_port: int = 0
@@ -220,6 +224,7 @@
         ]
         with open(endpoint.settings_path.with_suffix(".log"), "ab") as log:
             endpoint.node = subprocess.Popen(command, stdout=log, stderr=log)
+        lower_descriptor_limit(endpoint.node, self.descriptor_limit)
 
     def stop_node(self, endpoint):
         """Stop a node gracefully and return its exit code."""
--- a/src/ragworthoist_lab/mesh_server.py
+++ b/src/ragworthoist_lab/mesh_server.py
@@ -16,6 +16,7 @@
 import aiohttp
 import anyio
 
+from ragworthoist.exceptions import CallerGoneError
 from ragworthoist.net.web import find_header, read_body, respond
 from ragworthoist_lab.web import (
     MAX_BODY_BYTES,
@@ -52,6 +53,14 @@
         answers one beyond that, nor any other on its connection; 0 for no bound.
     advertised_rate : float or None
         Requests a second that the server advertises in its answers, None for none.
+    answer_bytes : int
+        Size of the body of a response; 0 for the body of the request in reverse.
+    part_bytes : int
+        Size of the chunks in which the body is sent; 0 for a body with a length.
+    part_seconds : float
+        Time between two of these chunks.
+    header_count : int
+        Number of small headers that a response has besides the usual ones.
     """
 
     service_seconds: float = 0.005
@@ -61,6 +70,10 @@
     silent: bool = False
     room: int = 0
     advertised_rate: float | None = None
+    answer_bytes: int = 0
+    part_bytes: int = 0
+    part_seconds: float = 0.0
+    header_count: int = 0
 
 
 @dataclass(slots=True)
@@ -112,7 +125,10 @@
             await respond(send, status, self._make_notices())
             return
         self._write_journal("arrival", scope)
-        body = await read_body(receive, MAX_BODY_BYTES)
+        try:
+            body = await read_body(receive, MAX_BODY_BYTES)
+        except CallerGoneError:
+            return
         if self.behaviour.room and self.held_count >= self.behaviour.room:
             self.dropped_count += 1
             await anyio.sleep_forever()
@@ -166,9 +182,26 @@
             )
             await send({"type": "http.response.body", "body": b"", "more_body": True})
             return
-        await respond(
-            send, 200, [*common_headers, (b"server-seal", b"lab")], body[::-1]
-        )
+        headers = [*common_headers, (b"server-seal", b"lab"), *self._make_padding()]
+        if behaviour.part_bytes:
+            await self._respond_in_parts(send, headers)
+        else:
+            content = b"x" * behaviour.answer_bytes or body[::-1]
+            await respond(send, 200, headers, content)
+
+    async def _respond_in_parts(self, send, headers):
+        behaviour = self.behaviour
+        part = b"x" * behaviour.part_bytes
+        pause = behaviour.part_seconds
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        for _ in range(behaviour.answer_bytes // behaviour.part_bytes):
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+            await anyio.sleep(pause)
+        await send({"type": "http.response.body", "body": b""})
+
+    def _make_padding(self):
+        count = self.behaviour.header_count
+        return [(b"%02x" % (n % 256), b"%02x" % (n % 256)) for n in range(count)]
 
     def _make_notices(self):
         """Return the headers that say something of the server itself."""
--- a/src/ragworthoist_lab/server.py
+++ b/src/ragworthoist_lab/server.py
@@ -12,6 +12,7 @@
 import aiohttp
 import anyio
 
+from ragworthoist.exceptions import CallerGoneError
 from ragworthoist.net.web import (
     NOT_RUN_HEADER,
     OUTCOME_HEADER,
@@ -109,7 +110,10 @@
         if scope["path"].startswith(CONTROL_PREFIX):
             await self._control(scope["path"], receive, send)
             return
-        body = await read_body(receive, MAX_BODY_BYTES)
+        try:
+            body = await read_body(receive, MAX_BODY_BYTES)
+        except CallerGoneError:
+            return
         await self._serve(scope, body, send)
 
     async def _control(self, path, receive, send):
