Stop the source of an answer whose client has left

Cause: the entrance discards a streamed answer on CallerGoneError only, but a client that closes its connection cancels the handler. The same on related paths: answers that a retry replaces, a call that is cancelled after its answer has begun, a reply to a call that has ended, and, beside the server, an answer whose sender waits for the server when it is cancelled.

Every path now discards the body it doesn't deliver, which sends CANCEL to the peer and closes the connection to the server. Reading a body that was discarded in the middle raises an error: it must not look complete.

--- a/src/ragworthoist/edge/dispatching.py
+++ b/src/ragworthoist/edge/dispatching.py
@@ -68,6 +68,19 @@
             A completed answer if there is one, otherwise the last one. It may be
             an error response of the server, such as status 500.
         """
+        answers = []
+        final = None
+        try:
+            final = await self._make_attempts(call, parent, answers)
+            return final
+        finally:
+            # Only one answer is delivered; the sources of the others are stopped.
+            for answer in answers:
+                if answer is not final:
+                    _discard_body(answer)
+
+    async def _make_attempts(self, call, parent, answers):
+        """Return the final answer; all answers of endpoints are added to `answers`."""
         node = self._node
         excluded = set()
         retries = 0
@@ -87,6 +100,7 @@
                 answer = answer or refusal
                 break
             answer = await self._call_endpoint(endpoint, call)
+            answers.append(answer)
             excluded.add(endpoint.instance)
             if answer.outcome is Outcome.COMPLETED:
                 if answer.status < MIN_SERVER_ERROR_STATUS:
@@ -250,3 +264,8 @@
             load=round(answer.load, 2),
             left=call.retry_allowance,
         )
+
+
+def _discard_body(answer):
+    if not isinstance(answer.body, bytes):
+        answer.body.discard()
--- a/src/ragworthoist/edge/entrance.py
+++ b/src/ragworthoist/edge/entrance.py
@@ -2,7 +2,6 @@
 
 from ragworthoist.core.entities import Call, Outcome, Reason, compute_draw, refuse
 from ragworthoist.events import Event, is_logged, log_event, write_event
-from ragworthoist.exceptions import CallerGoneError
 from ragworthoist.platform.headers import make_refusal_headers, read_attempt
 
 # A refused client is told to retry within this share of the time it has left.
@@ -122,10 +121,10 @@
         if answer.outcome is Outcome.COMPLETED:
             try:
                 await request.respond(answer.status, answer.headers, answer.body)
-            except CallerGoneError:
+            finally:
+                # On every way out: also if the client leaves, which cancels this task.
                 if not isinstance(answer.body, bytes):
                     answer.body.discard()
-                raise
             return
         retry_after = None
         if answer.outcome is Outcome.NOT_RUN and answer.reason is not Reason.DEADLINE:
--- a/src/ragworthoist/edge/forwarding.py
+++ b/src/ragworthoist/edge/forwarding.py
@@ -126,6 +126,10 @@
         except asyncio.CancelledError:
             if pending is not None:
                 self.cancel(pending)
+            if done.done() and not done.cancelled():
+                body = done.result().body
+                if not isinstance(body, bytes):
+                    body.discard()
             raise
 
     def submit(self, call, reply):
--- a/src/ragworthoist/net/bodies.py
+++ b/src/ragworthoist/net/bodies.py
@@ -29,7 +29,7 @@
 
     __slots__ = ("_parts", "_size", "_is_ended", "_is_cut", "_waiter", "_on_read",
                  "_on_discard", "_is_discarded", "_on_close", "_held",
-                 "_holdable_bytes", "_on_cut")  # fmt: skip
+                 "_holdable_bytes", "_on_cut", "_is_read")  # fmt: skip
 
     def __init__(self, on_read=None, on_discard=None, on_close=None, held_bytes=0):
         self._held = []
@@ -44,6 +44,7 @@
         self._on_close = on_close
         self._on_cut = None
         self._is_discarded = False
+        self._is_read = False
 
     @property
     def is_full(self):
@@ -88,9 +89,11 @@
         if self._is_discarded:
             return
         self._is_discarded = True
+        self._is_read = self._is_ended and not self._parts
         dropped, self._size = self._size, 0
         self._parts.clear()
         self._held = None
+        self._wake()
         if dropped and self._on_read is not None:
             self._on_read(dropped)
         if not (self._is_ended or self._is_cut) and self._on_discard is not None:
@@ -121,7 +124,10 @@
         while not self._parts:
             if self._is_cut:
                 raise BodyCutError
-            if self._is_ended or self._is_discarded:
+            if self._is_discarded and not self._is_read:
+                # What is missing must not look like the end of the body.
+                raise BodyCutError
+            if self._is_ended:
                 return b""
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
--- a/src/ragworthoist/net/calls.py
+++ b/src/ragworthoist/net/calls.py
@@ -41,13 +41,15 @@
     """A call received from the other side whose answer is not complete yet.
 
     `length` is the declared length of its body in bytes. `handle` is the result of
-    the node's `serve_call`, with which the call can be cancelled.
+    the node's `serve_call`, with which the call can be cancelled. `answer_body` is the
+    body of the answer that is being sent, if it is streamed.
     """
 
     call: object
     length: int
     body: object = field(default_factory=bytearray)
     handle: object = None
+    answer_body: object = None
 
 
 @dataclass(slots=True)
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -150,6 +150,10 @@
             call.body.set_cut_callback(partial(self._abandon, pending))
         try:
             await pending.completion
+        except asyncio.CancelledError:
+            if pending.answer is not None and isinstance(pending.answer.body, BodyPipe):
+                pending.answer.body.discard()
+            raise
         finally:
             timer.cancel()
             self._pending.pop(call_id, None)
@@ -364,11 +368,15 @@
 
     def _reply(self, call_id, answer):
         if self.is_closed or call_id not in self._inbound:
+            if isinstance(answer.body, BodyPipe):
+                answer.body.discard()
             return
         self._send(pack_answer(call_id, answer, self._handshake.frame_version))
         if is_inline(answer.body):
             del self._inbound[call_id]
         else:
+            if isinstance(answer.body, BodyPipe):
+                self._inbound[call_id].answer_body = answer.body
             self._start(self._finish_reply(call_id, answer.body))
 
     async def _finish_reply(self, call_id, body):
@@ -437,6 +445,8 @@
             return
         if isinstance(inbound.body, BodyPipe):
             inbound.body.cut()
+        if inbound.answer_body is not None:
+            inbound.answer_body.discard()
         if inbound.handle is not None:
             self._node.cancel_call(inbound.handle)
 
@@ -481,6 +491,8 @@
         for inbound in list(self._inbound.values()):
             if isinstance(inbound.body, BodyPipe):
                 inbound.body.cut()
+            if inbound.answer_body is not None:
+                inbound.answer_body.discard()
             if inbound.handle is not None:
                 self._node.cancel_call(inbound.handle)
         self._inbound.clear()
