Bound what a process holds for clients, servers and peers

Callers saw nodes end: crowds of clients that never finish made a node on the edge for attempts exceed 200 MB, the memory of the smallest machine.

Causes, each shown by its crowd on: nothing counted what all connections hold together; parts of two bytes were kept as objects of their own (60 KB of them took 1.6 MB); one read started up to 3,000 pipelined requests, as the bound of 16 was looked at only after it; heads of 1,900 small headers took 0.3 MB each; headers of a long answer were kept until its end.

A MemoryBudget of the process (core/memory.py) counts connections, bodies, calls of peers and responses, by what they take as objects. Beyond a quarter of the machine's memory (limits.memory_mb, default 200, the smallest machine) the largest accounts are evicted: a request that has not started is refused with 503, a call that waits at the last hop as not run; what may have run ends as unknown, a begun answer is cut. Owners close their accounts on each way out. Input is read in 64 KB and parsed in slices, so the bound of 16 holds. Small parts are joined. Clients with very many small items take turns (core/turns.py), so that parsing leaves time for others.

--- a/src/ragworthoist/_fleet.py
+++ b/src/ragworthoist/_fleet.py
@@ -38,11 +38,16 @@
         Monotonic time in seconds.
     configuration : ConfigurationTable
         The configuration in force.
+    memory : MemoryBudget
+        Counts what the process holds for clients, servers and peers.
     accepting : bool
         Whether the backend server accepts calls from the start.
     """
 
-    def __init__(self, node_settings, key, clock, configuration, accepting=True):
+    def __init__(
+        self, node_settings, key, clock, configuration, memory, accepting=True
+    ):
+        self.memory = memory
         self.instance = os.urandom(INSTANCE_ID_BYTES)
         self.key = key
         self.clock = clock
--- a/src/ragworthoist/_metrics.py
+++ b/src/ragworthoist/_metrics.py
@@ -9,7 +9,7 @@
     Parameters
     ----------
     node : FleetNode
-        Provides `outcomes`, `configuration` and `membership`.
+        Provides `outcomes`, `configuration`, `membership` and `memory`.
     admission : Admission
         Admission of calls to the backend server.
     limit : float
@@ -43,6 +43,14 @@
         registry=registry,
     )
     refusals.set({}, node.configuration.refusals)
+    held = gauge("held_bytes", "Bytes held for clients, servers and peers")
+    held.set({}, node.memory.held_bytes)
+    evictions = Counter(
+        "ragworthoist_evictions_total",
+        "What was dropped because the process held too much",
+        registry=registry,
+    )
+    evictions.set({}, node.memory.evicted_count)
     members = gauge("members", "Members by state")
     for member in node.membership.members.values():
         members.inc({"state": member.state.name.lower()})
--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -9,6 +9,7 @@
 from ragworthoist._document import Document
 from ragworthoist._fleet import FleetNode
 from ragworthoist._forwarding import Forwarder
+from ragworthoist._limits import make_memory_budget
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist._store_sync import StoreSync
 from ragworthoist._tasks import TaskPool
@@ -42,7 +43,10 @@
 
     def __init__(self, settings):
         key = hashlib.blake2b(settings.fleet.key.encode(), digest_size=32).digest()
-        super().__init__(settings.node, key, time.monotonic, ConfigurationTable())
+        memory = make_memory_budget(settings.limits)
+        super().__init__(
+            settings.node, key, time.monotonic, ConfigurationTable(), memory
+        )
         self.settings = settings
         self._wall_offset = time.time() - time.monotonic()
         self.router = Router(self.membership.node, self.random)
@@ -155,6 +159,10 @@
             return None
         return self.forwarder.submit(call, reply)
 
+    def refuse_waiting_call(self, _handle):
+        """Return False: no call of a peer is refused while it waits."""
+        return False
+
     def cancel_call(self, handle):
         """Cancel the call of a peer."""
         self.forwarder.cancel(handle)
--- a/src/ragworthoist/_settings.py
+++ b/src/ragworthoist/_settings.py
@@ -151,6 +151,16 @@
     repeat_window_seconds: float = Field(default=10, gt=0)
 
 
+class LimitSettings(_Model):
+    """What the process may use of its machine.
+
+    `memory_mb` is the memory of the machine in units of 2**20 bytes, a quarter of which
+    may be held for clients, servers and peers.
+    """
+
+    memory_mb: int = Field(default=200, ge=64)
+
+
 class AttemptSettings(_Model):
     """All settings of a node of the edge for attempts."""
 
@@ -160,6 +170,7 @@
     store: StoreSettings
     log: LogSettings = LogSettings()
     bounds: BoundSettings = BoundSettings()
+    limits: LimitSettings = LimitSettings()
 
 
 class Settings(_Model):
@@ -171,6 +182,7 @@
     store: StoreSettings
     operators: OperatorSettings
     log: LogSettings = LogSettings()
+    limits: LimitSettings = LimitSettings()
 
 
 def load_settings(path):
--- a/src/ragworthoist/edge/forwarding.py
+++ b/src/ragworthoist/edge/forwarding.py
@@ -183,6 +183,15 @@
             self._record_given_up(pending)
             self._finish(pending, None)
 
+    def refuse_waiting_call(self, pending):
+        """Refuse `pending` as shed if it has not been forwarded; return whether so."""
+        if pending.entry.state is not EntryState.WAITING:
+            return False
+        self.admission.withdraw(pending.entry)
+        self.in_progress -= 1
+        self._refuse(pending.call, pending.reply, Reason.SHED)
+        return True
+
     def apply_slots(self, slots):
         """Set the limit from the server's number of slots; 0 means unknown."""
         self._usable_slots = (
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -9,6 +9,7 @@
 import anyio
 
 from ragworthoist._fleet import FleetNode
+from ragworthoist._limits import make_memory_budget
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist._settings import load_settings
 from ragworthoist._tasks import TaskPool
@@ -78,7 +79,8 @@
     def __init__(self, settings, path=None):
         key = hashlib.blake2b(settings.fleet.key.encode(), digest_size=32).digest()
         table = ConfigurationTable(compile=compile_routes)
-        super().__init__(settings.node, key, read_clock, table, accepting=False)
+        memory = make_memory_budget(settings.limits)
+        super().__init__(settings.node, key, read_clock, table, memory, accepting=False)
         self.settings = settings
         self._path = path
         self.bounds = settings.bounds
@@ -88,7 +90,7 @@
             f"{server.host}:{server.port}",
             self.bounds.drain_ms / 1000,
         )
-        self.server_client = HttpClient(server.pair)
+        self.server_client = HttpClient(server.pair, memory)
         self.forwarder = Forwarder(self.lifecycle, self.server_client, self.clock)
         self.placement = Placement(self.membership.node, self.random)
         self.budget = FleetRetryBudget(_make_retry_bound(self.bounds))
@@ -96,7 +98,10 @@
         self.dispatcher = AttemptDispatcher(self)
         self.outcomes = OutcomeTable()
         self.entrance = Listener(
-            AttemptEntrance(self).handle, settings.node.entrance.pair, _log_malformed
+            AttemptEntrance(self).handle,
+            settings.node.entrance.pair,
+            _log_malformed,
+            memory,
         )
         self.pauses = PauseMeter()
         self.is_ready = False
@@ -128,7 +133,9 @@
                 (observer.answer_metrics, node.metrics),
             ):
                 if address is not None:
-                    await stack.enter_async_context(Listener(handle, address.pair))
+                    await stack.enter_async_context(
+                        Listener(handle, address.pair, memory=self.memory)
+                    )
             await stack.enter_async_context(self.entrance)
             group = await stack.enter_async_context(anyio.create_task_group())
             self.tasks = TaskPool(group)
@@ -342,6 +349,10 @@
         """Cancel a peer's call."""
         self.forwarder.cancel(handle)
 
+    def refuse_waiting_call(self, handle):
+        """Refuse a peer's call that has not been forwarded; return whether so."""
+        return self.forwarder.refuse_waiting_call(handle)
+
     # Lifecycle.
 
     def dump_state(self):
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -74,6 +74,7 @@
             for member in node.membership.members.values()
         ],
         "peer_streams": len(node.peers),
+        "memory": node.memory.describe(),
         "in_progress": node.in_progress,
         "store_calls": dict(node.store.calls) if node.store else {},
     }
--- a/src/ragworthoist/net/bodies.py
+++ b/src/ragworthoist/net/bodies.py
@@ -3,9 +3,14 @@
 import asyncio
 from collections import deque
 
+from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.exceptions import BodyCutError
 
 HIGH_WATER_BYTES = 65_536
+# Smaller parts are joined while several wait to be read: as objects of their own they
+# would take many times their size.
+MIN_PART_BYTES = 4096
+MAX_SEPARATE_PARTS = 8
 
 
 class BodyPipe:
@@ -14,25 +19,44 @@
     The writer calls `feed`, then `end` or `cut`, and pauses while `is_full` so that
     memory stays bounded. The single reader awaits `read` until it returns no bytes.
 
+    The bytes are counted in an account of `memory`. If it is evicted, the body is cut
+    and its source stopped.
+
     Parameters
     ----------
+    memory : MemoryBudget, optional
+        Counts the bytes that the pipe holds.
     held_bytes : int, optional
         Number of bytes that are kept after they were read, so that `rewind` can
         return to the start of the body. If more are read, none are kept.
     on_read : callable, optional
         Called with the number of bytes that were read or dropped.
     on_discard : callable, optional
-        Called when the reader calls `discard` before the body is complete.
+        Called when the reader calls `discard`, or the body is evicted, before it is
+        complete.
+    on_evict : callable, optional
+        Called when the body is evicted.
     on_close : callable, optional
         Called once when the body has ended or was cut.
     """
 
     __slots__ = ("_parts", "_size", "_is_ended", "_is_cut", "_waiter", "_on_read",
                  "_on_discard", "_is_discarded", "_on_close", "_held",
-                 "_holdable_bytes", "_on_cut", "_is_read")  # fmt: skip
-
-    def __init__(self, on_read=None, on_discard=None, on_close=None, held_bytes=0):
+                 "_holdable_bytes", "_on_cut", "_account", "_is_read",
+                 "_on_evict", "_held_size")  # fmt: skip
+
+    def __init__(
+        self,
+        on_read=None,
+        on_discard=None,
+        on_close=None,
+        held_bytes=0,
+        memory=None,
+        on_evict=None,
+    ):
+        self._account = (memory or MemoryBudget()).open_account(self._evict)
         self._held = []
+        self._held_size = 0
         self._holdable_bytes = held_bytes
         self._parts = deque()
         self._size = 0
@@ -43,6 +67,7 @@
         self._on_discard = on_discard
         self._on_close = on_close
         self._on_cut = None
+        self._on_evict = on_evict
         self._is_discarded = False
         self._is_read = False
 
@@ -53,13 +78,14 @@
 
     def feed(self, data):
         """Add `data` to the body."""
-        if self._is_discarded:
+        if self._is_discarded or self._is_cut:
             if self._on_read is not None:
                 self._on_read(len(data))
             return
-        self._parts.append(data)
+        _append(self._parts, data)
         self._size += len(data)
         self._wake()
+        self._account.add(len(data))
 
     def end(self):
         """Mark the body as complete."""
@@ -68,17 +94,35 @@
             self._close()
 
     def cut(self):
-        """Mark the body as truncated: the rest will not arrive."""
+        """Mark the body as truncated: the rest will not arrive.
+
+        What was not read is dropped, as it is of no use without the rest.
+        """
         if not (self._is_ended or self._is_cut):
-            self._is_cut = True
-            self._close()
-            if self._on_cut is not None:
-                self._on_cut()
+            self._truncate()
+
+    def _truncate(self):
+        self._is_cut = True
+        self._drop()
+        self._close()
+        if self._on_cut is not None:
+            self._on_cut()
+
+    def _evict(self):
+        """Cut the body, even if all of it has arrived, and stop its source."""
+        if self._is_discarded or self._is_cut:
+            return
+        is_ended = self._is_ended
+        self._truncate()
+        if not is_ended and self._on_discard is not None:
+            self._on_discard()
+        if self._on_evict is not None:
+            self._on_evict()
 
     def set_cut_callback(self, callback):
-        """Call `callback` once the body is cut, also while nobody reads; None ends it.
+        """Call `callback` once the body is cut, also while nobody reads.
 
-        A reader learns of the cut only when it has read what came before.
+        None ends it.
         """
         self._on_cut = callback
         if callback is not None and self._is_cut:
@@ -90,15 +134,22 @@
             return
         self._is_discarded = True
         self._is_read = self._is_ended and not self._parts
-        dropped, self._size = self._size, 0
-        self._parts.clear()
-        self._held = None
+        dropped = self._drop()
         self._wake()
         if dropped and self._on_read is not None:
             self._on_read(dropped)
         if not (self._is_ended or self._is_cut) and self._on_discard is not None:
             self._on_discard()
 
+    def _drop(self):
+        """Give back everything that is held; return the number of unread bytes."""
+        dropped, self._size = self._size, 0
+        self._parts.clear()
+        self._held = None
+        self._held_size = 0
+        self._account.close()
+        return dropped
+
     def rewind(self):
         """Return to the start of the body, so that it can be sent again.
 
@@ -108,9 +159,10 @@
         if self._held is None:
             return False
         self._parts.extendleft(reversed(self._held))
-        self._size += sum(len(part) for part in self._held)
-        self._holdable_bytes += sum(len(part) for part in self._held)
+        self._size += self._held_size
+        self._holdable_bytes += self._held_size
         self._held = []
+        self._held_size = 0
         return True
 
     async def read(self):
@@ -128,12 +180,17 @@
                 # What is missing must not look like the end of the body.
                 raise BodyCutError
             if self._is_ended:
+                if not self._held:
+                    self._account.close()
                 return b""
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         data = self._parts.popleft()
+        if isinstance(data, bytearray):
+            data = bytes(data)
         self._size -= len(data)
         self._hold(data)
+        self._account.resize(self._size + self._held_size)
         if self._on_read is not None:
             self._on_read(len(data))
         return data
@@ -144,8 +201,10 @@
         self._holdable_bytes -= len(data)
         if self._holdable_bytes < 0:
             self._held = None
+            self._held_size = 0
         else:
-            self._held.append(data)
+            _append(self._held, data)
+            self._held_size += len(data)
 
     def _wake(self):
         if self._waiter is not None and not self._waiter.done():
@@ -156,3 +215,14 @@
         if self._on_close is not None:
             self._on_close()
             self._on_close = None
+
+
+def _append(parts, data):
+    """Add `data` to the list or deque `parts`, joined with the last ones if small."""
+    is_small = len(data) < MIN_PART_BYTES and len(parts) >= MAX_SEPARATE_PARTS
+    if not is_small or len(parts[-1]) >= MIN_PART_BYTES:
+        parts.append(data)
+        return
+    if not isinstance(parts[-1], bytearray):
+        parts[-1] = bytearray(parts[-1])
+    parts[-1] += data
--- a/src/ragworthoist/net/calls.py
+++ b/src/ragworthoist/net/calls.py
@@ -14,7 +14,8 @@
 
     `body` collects the body of the answer; `length` is its declared length in bytes.
     `is_abandoned` tells whether the call ended because the peer was unresponsive.
-    `is_query` marks a query about members or the configuration.
+    `is_query` marks a query about members or the configuration. `account` counts what
+    is held of the answer besides a streamed body.
     """
 
     completion: asyncio.Future
@@ -24,6 +25,7 @@
     idempotent: bool = False
     is_abandoned: bool = False
     is_query: bool = False
+    account: object = None
 
     @property
     def must_be_awaited(self):
@@ -41,14 +43,19 @@
     """A call received from the other side whose answer is not complete yet.
 
     `length` is the declared length of its body in bytes. `handle` is the result of
-    the node's `serve_call`, with which the call can be cancelled. `answer_body` is the
-    body of the answer that is being sent, if it is streamed.
+    the node's `serve_call`, with which the call can be cancelled. `account` counts what
+    is held for the call besides a streamed body. `is_served` tells whether the node has
+    got the call, so that it may run, and `is_answered` whether its answer is being
+    sent. `answer_body` is the body of that answer if it is streamed.
     """
 
     call: object
     length: int
+    account: object
     body: object = field(default_factory=bytearray)
     handle: object = None
+    is_served: bool = False
+    is_answered: bool = False
     answer_body: object = None
 
 
--- a/src/ragworthoist/net/client.py
+++ b/src/ragworthoist/net/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.exceptions import ConnectFailedError
 from ragworthoist.net.exchanges import Exchange, ServerConnection
 
@@ -20,10 +21,13 @@
     ----------
     address : tuple
         (host, port) of the server.
+    memory : MemoryBudget, optional
+        Counts what is held of responses.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, memory=None):
         self.address = address
+        self.memory = memory or MemoryBudget()
         self._idle = []
         self._open = set()
         self.connections_opened = 0
--- a/src/ragworthoist/net/exchanges.py
+++ b/src/ragworthoist/net/exchanges.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from ragworthoist.core.memory import HEADER_OVERHEAD_BYTES
 from ragworthoist.exceptions import (
     BodyCutError,
     ConnectionLostError,
@@ -45,15 +46,14 @@
 class _Message:
     """Response being received.
 
-    The parts of a short body are joined at its end; a long body is passed on through
+    `received` is the body as long as it is short; a long body is passed on through
     `pipe`. `is_skipped` marks a response that is parsed but not delivered: an
     informational one, or one to another request. `has_framing` tells whether the
     headers determine where the body ends.
     """
 
     headers: list = field(default_factory=list)
-    parts: list = field(default_factory=list)
-    size: int = 0
+    received: bytearray = field(default_factory=bytearray)
     pipe: object = None
     response: object = None
     is_skipped: bool = False
@@ -61,6 +61,10 @@
     keep_alive: bytes = b""
 
 
+# Stands for a response that is in other hands, so that its headers are not held twice.
+_DELIVERED = Response(0, [])
+
+
 class Exchange:
     """One request in progress.
 
@@ -127,6 +131,7 @@
         self._is_parsing = False
         self._is_release_pending = False
         self._undelivered_bytes = 0
+        self._account = None
         self.is_reusable = True
         self.is_lost = False
         self.idle_since = 0.0
@@ -154,6 +159,8 @@
         self._transport = transport
         set_socket_timeouts(transport.get_extra_info("socket"))
         self._output = OutputMonitor(self._loop, transport)
+        # Headers and short bodies; a `BodyPipe` has an account of its own.
+        self._account = self._client.memory.open_account(self._evict)
 
     def data_received(self, data):
         """Parse data from the server."""
@@ -193,6 +200,7 @@
         """Fail the exchange in progress."""
         self.is_lost = True
         self.is_reusable = False
+        self._account.close()
         self._output.stop()
         self._resume_writer()
         self._fail(ConnectionLostError(str(error or "closed")))
@@ -222,6 +230,7 @@
             return
         name = name.lower()
         message.headers.append((name, value))
+        self._account.add(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
         if name == b"content-length":
             message.has_framing = True
         elif name == b"transfer-encoding":
@@ -267,9 +276,9 @@
         delivered = len(data) + CHUNK_FRAMING_BYTES
         self._undelivered_bytes = max(0, self._undelivered_bytes - delivered)
         if message.pipe is None:
-            message.parts.append(data)
-            message.size += len(data)
-            if message.size >= HIGH_WATER_BYTES:
+            message.received += data
+            self._account.add(len(data))
+            if len(message.received) >= HIGH_WATER_BYTES:
                 self._open_pipe(message)
             return
         message.pipe.feed(data)
@@ -283,6 +292,7 @@
             return
         if message.is_skipped:
             self._message = None
+            self._account.resize(0)
             return
         self._complete()
 
@@ -333,12 +343,17 @@
     def _open_pipe(self, message):
         """Deliver a long response before its body is complete."""
         pipe = message.pipe = BodyPipe(
-            on_read=self._on_body_read, on_discard=self.abort, on_close=self._release
+            on_read=self._on_body_read,
+            on_discard=self.abort,
+            on_close=self._release,
+            memory=self._client.memory,
         )
-        for part in message.parts:
-            pipe.feed(part)
-        message.parts.clear()
-        self._deliver(message.response, pipe)
+        pipe.feed(bytes(message.received))
+        response, message.response = message.response, _DELIVERED
+        message.received = bytearray()
+        message.headers = []
+        self._account.resize(0)
+        self._deliver(response, pipe)
         self._pause()
 
     def _deliver(self, response, body):
@@ -364,14 +379,21 @@
         if message.pipe is not None:
             message.pipe.end()
             return
-        self._deliver(message.response, b"".join(message.parts))
+        self._account.resize(0)
+        self._deliver(message.response, bytes(message.received))
         self._release()
 
+    def _evict(self):
+        """Give up a response, since the process holds too much."""
+        self._fail(ConnectionLostError("evicted"))
+        self.abort()
+
     def _time_out(self):
         self._fail(TimeoutError())
 
     def _fail(self, error):
         message, self._message = self._message, None
+        self._account.resize(0)
         if message is not None and message.pipe is not None:
             message.pipe.cut()
         if self._exchange is not None:
--- a/src/ragworthoist/net/listener.py
+++ b/src/ragworthoist/net/listener.py
@@ -7,13 +7,17 @@
 import asyncio
 import socket
 
+from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.core.routes import RequestLimits
+from ragworthoist.core.turns import ParsingTurns
 from ragworthoist.exceptions import BodyCutError, CallerGoneError
 from ragworthoist.net.requests import ClientConnection
 
 BACKLOG = 1024
 SWEEP_INTERVAL_SECONDS = 0.25
 ACCEPT_LAST_SECONDS = 0.01
+# Between two turns of clients whose input is costly to parse, so that others have time.
+TURN_INTERVAL_SECONDS = 0.005
 
 
 class Listener:
@@ -28,11 +32,22 @@
         (host, port) to listen on.
     report_refused : callable, optional
         Called with the HTTP status with which a request was refused.
+    memory : MemoryBudget, optional
+        Counts what the connections hold.
     """
 
-    def __init__(self, handle, address, report_refused=lambda status: None):
+    def __init__(
+        self,
+        handle,
+        address,
+        report_refused=lambda status: None,
+        memory=None,
+    ):
         self._handle = handle
         self._address = address
+        self._turns = ParsingTurns()
+        self._is_turn_scheduled = False
+        self.memory = memory or MemoryBudget()
         self._server = None
         self._sweeper = None
         self.report_refused = report_refused
@@ -67,6 +82,21 @@
         """Number of requests without a complete response."""
         return sum(len(connection._requests) for connection in self.connections)
 
+    def wait_for_turn(self, connection):
+        """Let `connection` parse the rest of its input when it is its turn."""
+        self._turns.join(connection)
+        self._schedule_turn()
+
+    def _schedule_turn(self):
+        if self._turns and not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self.loop.call_later(TURN_INTERVAL_SECONDS, self._take_turn)
+
+    def _take_turn(self):
+        self._is_turn_scheduled = False
+        self._turns.take_turn(lambda connection: connection.parse_in_turn())
+        self._schedule_turn()
+
     def drain(self):
         """Close each connection after its last response from now on."""
         self.is_draining = True
--- a/src/ragworthoist/net/operators.py
+++ b/src/ragworthoist/net/operators.py
@@ -105,6 +105,7 @@
         "inbound": len(node.forwarder.inbound),
         "in_progress": node.in_progress,
         "peer_streams": len(node.peers),
+        "memory": node.memory.describe(),
         "ejected": node.router.count_ejected(now),
         "is_watcher": node.membership.is_watcher,
         "watchers": [m.instance.hex() for m in node.membership.watchers()],
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -12,6 +12,12 @@
 
 import httptools
 
+from ragworthoist.core.memory import (
+    HEADER_OVERHEAD_BYTES,
+    REQUEST_OVERHEAD_BYTES,
+    measure_headers,
+)
+from ragworthoist.core.turns import FREE_ITEMS
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import BodyCutError, CallerGoneError
 from ragworthoist.net.bodies import HIGH_WATER_BYTES, BodyPipe
@@ -23,6 +29,13 @@
 HELD_BODY_BYTES = 2 * HIGH_WATER_BYTES
 # Unanswered requests on one connection at which reading is paused.
 MAX_PIPELINED = 16
+# Largest read, and the part of it that is parsed at once where it may hold many
+# requests or chunks.
+READ_BYTES = 64 * 1024
+SLICE_BYTES = 2048
+BODY_SLICE_BYTES = 4096
+# What a request line may have besides its target.
+REQUEST_LINE_BYTES = 32
 # Bytes besides the body after the head of one request: chunk framing and trailers.
 MAX_FRAMING_BYTES = 64 * 1024
 # The framing of a chunk with an ordinary extension.
@@ -37,6 +50,8 @@
 CLOSE_POLL_SECONDS = 0.25
 
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+# Tells a client that was refused when it may come back.
+_COME_BACK = b"retry-after: 1\r\n"
 _FRAMING_HEADERS = frozenset(
     {b"connection", b"content-length", b"keep-alive", b"transfer-encoding", b"upgrade"}
 )
@@ -52,7 +67,7 @@
 
     __slots__ = ("_connection", "method", "target", "headers", "body", "keep_alive",
                  "task", "turn", "has_responded", "is_complete", "pipe",
-                 "parts", "started_at")  # fmt: skip
+                 "received", "started_at", "held_bytes")  # fmt: skip
 
     def __init__(self, connection, method, target, headers, keep_alive, started_at):
         self._connection = connection
@@ -67,7 +82,8 @@
         self.has_responded = False
         self.is_complete = False
         self.pipe = None
-        self.parts = None
+        self.received = None
+        self.held_bytes = 0
 
     @property
     def age(self):
@@ -97,18 +113,33 @@
         await self._connection.respond(self, status, headers, body, close)
 
 
-class ClientConnection(asyncio.Protocol):
+# Where all connections receive; what they receive is copied before the next read.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
+
+class ClientConnection(asyncio.BufferedProtocol):
     """Reads the requests of one connection and writes their responses.
 
     Parameters
     ----------
     listener : Listener
-        Provides `loop`, `limits`, `run_handler`, `report_refused`, the set
-        `connections`, and whether the node `is_draining` or `is_stopping`.
+        Provides `loop`, `limits`, `memory`, `run_handler`, `report_refused`,
+        `wait_for_turn`, the set `connections`, and whether the node `is_draining` or
+        `is_stopping`.
     """
 
     def __init__(self, listener):
         self._listener = listener
+        self._account = listener.memory.open_account(self._evict)
+        # What the account counts: requests without a complete response, a head that is
+        # being received, output that the client does not take, and unparsed input.
+        self._held_bytes = 0
+        self._head_held_bytes = 0
+        self._stalled_bytes = 0
+        self._unparsed = b""
+        self._item_count = 0
+        self._is_turn_due = False
+        self._is_parsing = False
         self._loop = listener.loop
         self._transport = None
         self._output = None
@@ -118,6 +149,8 @@
         self._url = []
         self._headers = []
         self._head_bytes = 0
+        self._raw_head_bytes = 0
+        self._begun_count = 0
         self._body_bytes = 0
         self._framing_bytes = 0
         self._declared_length = 0
@@ -145,6 +178,8 @@
     def connection_lost(self, error):
         """Abandon the requests of a disconnected client."""
         self._is_disconnected = True
+        self._account.close()
+        self._unparsed = b""
         self._output.stop()
         if error is not None:
             self._log_cut_answer(error)
@@ -163,13 +198,80 @@
         self._transport.abort()
         return False
 
-    def data_received(self, data):
-        """Parse data from the client."""
+    def get_buffer(self, _size):
+        """Return where the transport writes what it receives."""
+        return _read_buffer
+
+    def buffer_updated(self, count):
+        """Parse `count` bytes from the client."""
         if self._is_refused or self._is_closing:
             return
         self.last_active = self._loop.time()
+        data = bytes(_read_buffer[:count])
+        if self._unparsed:
+            self._unparsed += data
+            self._count_held()
+            return
+        self._item_count = 0
+        self._parse(data)
+
+    def parse_in_turn(self):
+        """Parse what has waited for the turn of this connection.
+
+        Returns
+        -------
+        int
+            Number of items that were parsed.
+        """
+        self._is_turn_due = False
+        self._item_count = 0
+        self._parse_waiting()
+        return self._item_count
+
+    def _parse_waiting(self):
+        if self._is_turn_due or not self._unparsed:
+            return
+        data, self._unparsed = self._unparsed, b""
+        if not (self._is_refused or self._is_closing or self._is_disconnected):
+            self._parse(data)
+
+    def _parse(self, data):
+        """Parse `data` until the rest has to wait for a turn or for responses."""
+        start = 0
+        self._is_parsing = True
+        while start < len(data) and not (self._is_refused or self._is_closing):
+            has_had_turn = self._item_count >= FREE_ITEMS
+            if has_had_turn or self._is_full:
+                self._unparsed = data[start:]
+                if has_had_turn:
+                    self._is_turn_due = True
+                    self._listener.wait_for_turn(self)
+                break
+            size = self._choose_slice()
+            self._parse_slice(data[start : start + size])
+            start += size
+        self._is_parsing = False
+        self._count_held()
+        self._control_reading()
+
+    @property
+    def _is_full(self):
+        """Whether requests or bytes that were received have to be dealt with first."""
+        pipe = self._current.pipe if self._current is not None else None
+        is_pipe_full = pipe is not None and pipe.is_full
+        return is_pipe_full or len(self._requests) >= MAX_PIPELINED
+
+    def _choose_slice(self):
+        """Return how many bytes to parse before the state is looked at again."""
+        if self._current is None:
+            return SLICE_BYTES
+        return max(self._declared_length - self._body_bytes, 0) or BODY_SLICE_BYTES
+
+    def _parse_slice(self, data):
         if not self._in_head and self._current is None:
             self._head_started_at = self.last_active
+            self._raw_head_bytes = 0
+            self._begun_count = 0
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -179,21 +281,70 @@
             if not self._is_refused:
                 self._refuse(400)
         if self._in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > self._listener.limits.max_head_bytes:
-                self._refuse(431)
+            self._check_partial_head(len(data))
         elif self._current is None:
             self._framing_bytes = 0
         elif self._framing_bytes > MAX_FRAMING_BYTES:
             self._refuse_body(400)
-        self._control_reading()
+
+    def _check_partial_head(self, count):
+        """Refuse a head whose end has not come, but more bytes than a head may have."""
+        if self._begun_count > 1:
+            # The bytes before it belong to other requests.
+            self._raw_head_bytes = 0
+            self._begun_count = 1
+            return
+        self._raw_head_bytes += count
+        limit = self._listener.limits.max_head_bytes + REQUEST_LINE_BYTES
+        if self._raw_head_bytes > limit:
+            self._refuse(431)
+
+    def _count_held(self):
+        self._account.resize(
+            self._held_bytes
+            + self._head_held_bytes
+            + self._stalled_bytes
+            + len(self._unparsed)
+            # Of which the parser keeps an incomplete header.
+            + (self._raw_head_bytes if self._in_head else 0)
+        )
+
+    def _hold(self, request, count):
+        request.held_bytes += count
+        self._held_bytes += count
+
+    def _evict(self):
+        """Drop what this connection holds, since the process holds too much.
+
+        A request that has not started is refused, and the client may come back.
+        """
+        if self._is_disconnected:
+            return
+        log_event(
+            Event.CONNECTION_EVICTED,
+            peer=self._transport.get_extra_info("peername"),
+            requests=len(self._requests),
+        )
+        is_started = self._current is not None and self._current.pipe is not None
+        if self._requests or is_started or self._is_refused or self._is_closing:
+            self._transport.abort()
+            return
+        if self._current is not None:
+            self._current.received = None
+        self._headers = []
+        self._unparsed = b""
+        self._refuse(503, _COME_BACK)
 
     def pause_writing(self):
         """Pause a streamed response while the client reads slowly."""
         self._writable = self._loop.create_future()
+        self._stalled_bytes = self._transport.get_write_buffer_size()
+        self._count_held()
 
     def resume_writing(self):
         """Resume a streamed response."""
+        self._stalled_bytes = 0
+        self._count_held()
         self._resume_writer()
 
     # Parser callbacks.
@@ -202,7 +353,10 @@
         """Start receiving a request."""
         self._in_head = True
         self._message_started_at = self._loop.time()
+        self._begun_count += 1
+        self._item_count += 1
         self._head_bytes = 0
+        self._head_held_bytes = 0
         self._body_bytes = 0
         self._declared_length = 0
         self._expects_continue = False
@@ -216,6 +370,9 @@
 
     def on_header(self, name, value):
         """Store one header."""
+        if self._is_refused:
+            return
+        self._item_count += 1
         name = name.lower()
         self._headers.append((name, value))
         if name == b"content-length":
@@ -223,6 +380,7 @@
         elif name == b"expect":
             self._expects_continue = value.lower() == b"100-continue"
         self._head_bytes += len(name) + len(value) + 4
+        self._head_held_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if self._head_bytes > self._listener.limits.max_head_bytes:
             # A trailer, if the request has begun.
             if self._current is None:
@@ -246,6 +404,8 @@
             self._message_started_at,
         )
         self._current = request
+        self._hold(request, self._head_held_bytes + REQUEST_OVERHEAD_BYTES)
+        self._head_held_bytes = 0
         self._framing_bytes = 0
         if self._declared_length > self._listener.limits.max_body_bytes:
             self._refuse(413)
@@ -257,6 +417,7 @@
         request = self._current
         if self._is_refused or request is None:
             return
+        self._item_count += 1
         self._body_bytes += len(data)
         received = len(data) + CHUNK_FRAMING_BYTES
         self._framing_bytes = max(0, self._framing_bytes - received)
@@ -265,8 +426,10 @@
         elif request.pipe is not None:
             request.pipe.feed(data)
         elif self._body_bytes < HIGH_WATER_BYTES:
-            request.parts = request.parts or []
-            request.parts.append(data)
+            if request.received is None:
+                request.received = bytearray()
+            request.received += data
+            self._hold(request, len(data))
         else:
             self._open_pipe(request, data)
 
@@ -282,9 +445,9 @@
             if request.has_responded and request.task is not None:
                 self._finish(request)
             return
-        if request.parts:
-            request.body = b"".join(request.parts)
-            request.parts = None
+        if request.received:
+            request.body = bytes(request.received)
+            request.received = None
         self._start(request)
 
     # Responses.
@@ -297,6 +460,10 @@
         if self._is_disconnected or self._is_refused and request is self._current:
             # A refused request is answered by its refusal.
             raise CallerGoneError
+        is_piped = isinstance(body, BodyPipe)
+        answer_bytes = measure_headers(headers) + (0 if is_piped else len(body))
+        self._hold(request, answer_bytes)
+        self._count_held()
         if self._requests[0] is not request:
             request.turn = self._loop.create_future()
             await request.turn
@@ -305,7 +472,6 @@
         is_last = len(self._requests) == 1
         should_close = close or not request.keep_alive
         should_close = should_close or (self._listener.is_draining and is_last)
-        is_piped = isinstance(body, BodyPipe)
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, _get_reason_phrase(status))]
         for name, value in headers:
             if name not in _FRAMING_HEADERS:
@@ -363,11 +529,16 @@
     def _open_pipe(self, request, data):
         """Start the handler of a request with a long body before it is complete."""
         request.body = request.pipe = BodyPipe(
-            on_read=self._on_body_read, held_bytes=HELD_BODY_BYTES
+            on_read=self._on_body_read,
+            held_bytes=HELD_BODY_BYTES,
+            memory=self._listener.memory,
+            on_evict=self._evict,
         )
-        for part in [*(request.parts or ()), data]:
-            request.pipe.feed(part)
-        request.parts = None
+        received, request.received = request.received, None
+        if received:
+            request.pipe.feed(bytes(received))
+            self._hold(request, -len(received))
+        request.pipe.feed(data)
         self._start(request)
 
     def _start(self, request):
@@ -399,6 +570,8 @@
 
     def _finish(self, request):
         self._requests.popleft()
+        self._hold(request, -request.held_bytes)
+        self._count_held()
         if self._requests and self._requests[0].turn is not None:
             turn = self._requests[0].turn
             if not turn.done():
@@ -439,18 +612,19 @@
     def _abandon(self, request):
         if request.pipe is not None:
             request.pipe.cut()
+            request.pipe.discard()
         if request.turn is not None and not request.turn.done():
             request.turn.set_result(None)
         if not request.has_responded and request.task is not None:
             request.task.cancel()
 
-    def _refuse(self, status):
+    def _refuse(self, status, headers=b""):
         """Answer a request that cannot be accepted, and close the connection."""
         if self._is_refused:
             return
         self._is_refused = True
         self._listener.report_refused(status)
-        self._loop.create_task(self._write_refusal(status))
+        self._loop.create_task(self._write_refusal(status, headers))
 
     def _refuse_body(self, status):
         """Refuse a request whose body cannot be accepted."""
@@ -458,7 +632,7 @@
         if self._current.pipe is not None:
             self._abandon(self._current)
 
-    async def _write_refusal(self, status):
+    async def _write_refusal(self, status, headers):
         """Write the refusal after the responses to the requests before it."""
         while self._requests and not self._is_disconnected:
             last = self._requests[-1].task
@@ -468,7 +642,7 @@
         if not self._is_disconnected:
             head = b"HTTP/1.1 %d %s\r\n" % (status, _get_reason_phrase(status))
             self._transport.write(
-                head + b"connection: close\r\ncontent-length: 0\r\n\r\n"
+                head + headers + b"connection: close\r\ncontent-length: 0\r\n\r\n"
             )
             self._close_with_linger()
 
@@ -480,10 +654,9 @@
     def _control_reading(self):
         if self._is_disconnected or self._transport.is_closing():
             return
-        current = self._current
-        pipe = current.pipe if current is not None else None
-        is_full = pipe is not None and pipe.is_full
-        should_read = not is_full and len(self._requests) < MAX_PIPELINED
+        if self._unparsed and not self._is_full and not self._is_parsing:
+            self._loop.call_soon(self._parse_waiting)
+        should_read = not (self._unparsed or self._is_full)
         if should_read != self._is_reading:
             self._is_reading = should_read
             if should_read:
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -10,6 +10,11 @@
 import msgpack
 
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
+from ragworthoist.core.memory import (
+    REQUEST_OVERHEAD_BYTES,
+    MemoryBudget,
+    measure_headers,
+)
 from ragworthoist.events import Event, log_event
 from ragworthoist.exceptions import FrameError
 from ragworthoist.net.bodies import BodyPipe
@@ -48,8 +53,9 @@
     ----------
     node : object
         The node. It provides `instance`, `key`, `clock`, `serve_call`,
-        `cancel_call`, `exchange_members`, `fetch_configuration`,
-        `report_refused_peer` and `report_lost_peer`. If its `streams_bodies` is
+        `cancel_call`, `refuse_waiting_call`, `exchange_members`,
+        `fetch_configuration`, `report_refused_peer`, `report_lost_peer` and `memory`,
+        the `MemoryBudget` of the process. If its `streams_bodies` is
         true, it gets long bodies as a `BodyPipe`, otherwise as complete bytes.
     is_initiator : bool
         Whether this side opened the connection.
@@ -73,6 +79,7 @@
         self._tasks = set()
         self._next_id = 1 if is_initiator else 2
         self._streams_bodies = getattr(node, "streams_bodies", False)
+        self._memory = getattr(node, "memory", None) or MemoryBudget()
         self._handshake = Handshake(node, is_initiator)
         self._handshake_timer = None
         self._liveness = PeerLiveness(node.clock())
@@ -157,6 +164,8 @@
         finally:
             timer.cancel()
             self._pending.pop(call_id, None)
+            if pending.account is not None:
+                pending.account.close()
             self._body_sender.stop(call_id)
             if is_piped:
                 call.body.set_cut_callback(None)
@@ -333,7 +342,13 @@
         if self._is_own(call_id) or call_id in self._inbound:
             raise FrameError("call id", call_id)
         call, length, complete = unpack_call(frame, self._node.clock())
-        inbound = self._inbound[call_id] = InboundCall(call, length)
+        account = self._memory.open_account(partial(self._evict, call_id))
+        inbound = self._inbound[call_id] = InboundCall(call, length, account)
+        account.add(
+            REQUEST_OVERHEAD_BYTES + measure_headers(call.headers) + len(call.body)
+        )
+        if call_id not in self._inbound:
+            return
         if not complete:
             self._prepare_receiver(call_id, inbound, call)
         if complete or self._streams_bodies:
@@ -354,7 +369,12 @@
             self._send([int(FrameKind.CANCEL), call_id])
 
         is_own = self._is_own(call_id)
-        owner.body = receiver.body = BodyPipe(credit, stop if is_own else None)
+        owner.body = receiver.body = BodyPipe(
+            credit,
+            on_discard=stop if is_own else None,
+            on_evict=None if is_own else partial(self._evict, call_id),
+            memory=self._memory,
+        )
         if is_own:
             self._receiving[call_id] = receiver
 
@@ -362,6 +382,7 @@
         def reply(answer):
             self._reply(call_id, answer)
 
+        inbound.is_served = True
         handle = self._node.serve_call(inbound.call, reply)
         if call_id in self._inbound:
             inbound.handle = handle
@@ -373,18 +394,62 @@
             return
         self._send(pack_answer(call_id, answer, self._handshake.frame_version))
         if is_inline(answer.body):
-            del self._inbound[call_id]
+            self._forget_inbound(call_id)
         else:
+            # The answer's own body has an account, or is counted here.
+            inbound = self._inbound[call_id]
+            inbound.is_answered = True
             if isinstance(answer.body, BodyPipe):
-                self._inbound[call_id].answer_body = answer.body
+                inbound.answer_body = answer.body
+            inbound.account.resize(
+                len(answer.body) if isinstance(answer.body, bytes) else 0
+            )
             self._start(self._finish_reply(call_id, answer.body))
 
     async def _finish_reply(self, call_id, body):
-        if not await self._body_sender.send(call_id, body):
+        try:
+            if not await self._body_sender.send(call_id, body):
+                self._send([int(FrameKind.CUT), call_id, None])
+        finally:
+            self._forget_inbound(call_id)
+
+    def _forget_inbound(self, call_id):
+        """Remove a call of the other side, and return it if it was in progress."""
+        inbound = self._inbound.pop(call_id, None)
+        if inbound is None:
+            return None
+        inbound.account.close()
+        if isinstance(inbound.body, BodyPipe):
+            # What has not arrived will not be read any more.
+            inbound.body.cut()
+            inbound.body.discard()
+        if inbound.answer_body is not None:
+            inbound.answer_body.discard()
+        return inbound
+
+    def _evict(self, call_id):
+        """Refuse or end a call of the other side, since the process holds too much."""
+        inbound = self._inbound.get(call_id)
+        if inbound is None:
+            return
+        if inbound.is_answered:
+            self._body_sender.stop(call_id)
             self._send([int(FrameKind.CUT), call_id, None])
-        self._inbound.pop(call_id, None)
-        if isinstance(body, BodyPipe):
-            body.discard()
+        elif not inbound.is_served:
+            self._reply(call_id, refuse(Reason.SHED, inbound.call))
+        elif inbound.handle is None or not self._node.refuse_waiting_call(
+            inbound.handle
+        ):
+            self._reply(call_id, Answer(Outcome.UNKNOWN, Reason.CANCELLED))
+            if inbound.handle is not None:
+                self._node.cancel_call(inbound.handle)
+
+    def _evict_answer(self, pending):
+        """Give up an answer, since the process holds too much."""
+        pending.answer = Answer(Outcome.UNKNOWN, Reason.TOO_LARGE, retryable=False)
+        pending.body = bytearray()
+        pending.is_abandoned = True
+        pending.finish()
 
     def _on_answer(self, call_id, frame):
         pending = self._pending.get(call_id)
@@ -394,6 +459,10 @@
         pending.answer = answer
         pending.length = length
         if not complete:
+            if not self._streams_bodies:
+                pending.account = self._memory.open_account(
+                    partial(self._evict_answer, pending)
+                )
             self._prepare_receiver(call_id, pending, answer)
         if complete or self._streams_bodies:
             pending.finish()
@@ -407,6 +476,7 @@
             receiver.body.feed(frame[2])
             return
         receiver.body += frame[2]
+        receiver.account.add(len(frame[2]))
         if len(receiver.body) > min(receiver.length, MAX_BODY_BYTES):
             raise FrameError("chunk", len(receiver.body))
         self._send([int(FrameKind.CREDIT), call_id, len(frame[2])])
@@ -426,6 +496,7 @@
             receiver.finish()
         else:
             receiver.call.body = bytes(receiver.body)
+            receiver.body = b""
             self._serve(call_id, receiver)
 
     def _find_receiver(self, call_id):
@@ -439,14 +510,11 @@
         self._body_sender.add_credit(call_id, frame[2])
 
     def _on_cancel(self, call_id, _frame):
-        inbound = self._inbound.pop(call_id, None)
+        inbound = self._inbound.get(call_id)
         self._body_sender.stop(call_id)
         if inbound is None:
             return
-        if isinstance(inbound.body, BodyPipe):
-            inbound.body.cut()
-        if inbound.answer_body is not None:
-            inbound.answer_body.discard()
+        self._forget_inbound(call_id)
         if inbound.handle is not None:
             self._node.cancel_call(inbound.handle)
 
@@ -488,14 +556,10 @@
         for receiver in list(self._receiving.values()):
             receiver.body.cut()
         self._receiving.clear()
-        for inbound in list(self._inbound.values()):
-            if isinstance(inbound.body, BodyPipe):
-                inbound.body.cut()
-            if inbound.answer_body is not None:
-                inbound.answer_body.discard()
+        for call_id, inbound in list(self._inbound.items()):
+            self._forget_inbound(call_id)
             if inbound.handle is not None:
                 self._node.cancel_call(inbound.handle)
-        self._inbound.clear()
         self._body_sender.stop_all()
         self._node.report_lost_peer(self)
 
--- a/tests/edge/test_forwarding.py
+++ b/tests/edge/test_forwarding.py
@@ -186,6 +186,25 @@
     assert asyncio.run(run()) == (1, 0)
 
 
+@pytest.mark.parametrize("waits", [False, True])
+def test_only_a_call_that_was_not_forwarded_is_refused_for_want_of_memory(waits):
+    async def run():
+        client = FakeClient(Response(500, [*SEALED]), waits=True)
+        forwarder = make_forwarder(client, Clock())
+        answers = []
+        calls = [make_call(request_id=b"%d" % n) for n in range(DEFAULT_SLOTS + waits)]
+        pending = [forwarder.submit(call, answers.append) for call in calls]
+        was_refused = forwarder.refuse_waiting_call(pending[-1])
+        client.release.set()
+        await asyncio.sleep(0.01)
+        return was_refused, [a.reason for a in answers], len(client.heads), forwarder
+
+    was_refused, reasons, sent, forwarder = asyncio.run(run())
+    assert was_refused is waits
+    assert (Reason.SHED in reasons) is waits
+    assert (sent, forwarder.in_progress) == (DEFAULT_SLOTS, 0)
+
+
 def test_calls_are_shed_when_the_expected_wait_is_too_long():
     async def run():
         client = FakeClient(Response(200, [*SEALED]), waits=True)
--- a/tests/edge/test_observing.py
+++ b/tests/edge/test_observing.py
@@ -50,6 +50,7 @@
         configuration=SimpleNamespace(version=7, refusals=2),
         follower=SimpleNamespace(is_watching=True, unconfirmed_seconds=1.5),
         membership=SimpleNamespace(members={}),
+        memory=SimpleNamespace(held_bytes=41, evicted_count=5),
         is_ready=True,
     )
 
@@ -68,6 +69,8 @@
         'ragworthoist_completed_below_total{kind="order",le="0.05",rank="0"} 1',
         'ragworthoist_store_calls_total{kind="get"} 2',
         "ragworthoist_server_connections_total 3",
+        "ragworthoist_held_bytes 41",
+        "ragworthoist_evictions_total 5",
         "ragworthoist_configuration_version 7",
         "ragworthoist_configuration_unconfirmed_seconds 1.5",
         'ragworthoist_server_requests_total{server="i-1"} 6',
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -14,7 +14,8 @@
 import pytest
 from fakes import complete
 
-from ragworthoist.core.entities import Call, Outcome, Reason
+from ragworthoist.core.entities import Call, Outcome, Reason, refuse
+from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.events import Event
 from ragworthoist.net.bodies import BodyPipe
 from ragworthoist.net.frames import MAX_BODY_BYTES, FrameKind, pack_call
@@ -559,3 +560,112 @@
         initiator = FakeNode(b"initiat0")
         initiator.clock = clock
         assert anyio.run(lambda: run_pair(scenario, initiator)) == (False, False)
+
+
+class HoldingNode(FakeNode):
+    """Counts what its streams hold. `is_waiting` tells whether calls have not run."""
+
+    def __init__(self, name, is_waiting=False):
+        super().__init__(name)
+        self.memory = MemoryBudget()
+        self.may_answer = anyio.Event()
+        self._is_waiting = is_waiting
+        self._replies = {}
+
+    def serve_call(self, call, reply):
+        self._replies[call.target] = (call, reply)
+        return super().serve_call(call, reply)
+
+    async def _answer(self, call, reply):
+        await self.may_answer.wait()
+        await super()._answer(call, reply)
+
+    def refuse_waiting_call(self, handle):
+        if self._is_waiting:
+            call, reply = self._replies[handle]
+            reply(refuse(Reason.SHED, call))
+        return self._is_waiting
+
+
+async def wait_until(condition):
+    while not condition():
+        await anyio.sleep(0.002)
+
+
+class TestMemory:
+    """A node that holds too much ends calls of its peers, and tells the truth of it."""
+
+    @pytest.mark.parametrize(
+        ("is_waiting", "is_whole", "outcome", "cancelled"),
+        [
+            # Its body has not arrived, so it can't have been forwarded.
+            (False, False, Outcome.NOT_RUN, 0),
+            (True, True, Outcome.NOT_RUN, 0),
+            (False, True, Outcome.UNKNOWN, 1),
+        ],
+        ids=["incomplete", "waiting", "running"],
+    )
+    def test_evicted_call_is_said_not_run_only_if_it_was_not_forwarded(
+        self, is_waiting, is_whole, outcome, cancelled
+    ):
+        acceptor = HoldingNode(b"accept00", is_waiting)
+
+        async def scenario(stream, _acceptor):
+            if not is_whole:
+                # The last chunk and the end are never sent.
+                stream._body_sender.writable.clear()
+            answers = []
+
+            async def ask():
+                answers.append(await stream.call(make_call(body=bytes(40_000))))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await wait_until(lambda: acceptor.memory.held_bytes)
+                await wait_until(lambda: acceptor.served or not is_whole)
+                acceptor.memory.limit_bytes = 10
+                acceptor.memory.relieve()
+                assert acceptor.memory.held_bytes == 0
+            return answers[0].outcome
+
+        assert anyio.run(lambda: run_pair(scenario, acceptor=acceptor)) is outcome
+        assert len(acceptor.cancelled) == cancelled
+
+    @pytest.mark.parametrize("way", ["answered", "cancelled", "lost"])
+    @pytest.mark.parametrize("size", [0, 100_000])
+    def test_nothing_is_held_for_a_call_that_has_ended(self, way, size):
+        nodes = [HoldingNode(b"initiat0"), HoldingNode(b"accept00")]
+
+        async def scenario(stream, acceptor):
+            async with anyio.create_task_group() as tasks:
+                for number in range(5):
+                    body = bytes(number * 20_000)
+                    tasks.start_soon(stream.call, make_call(f"/{number}/{size}", body))
+                await wait_until(lambda: len(acceptor.served) == 5)
+                assert acceptor.memory.held_bytes > 0
+                if way == "answered":
+                    acceptor.may_answer.set()
+                elif way == "cancelled":
+                    tasks.cancel_scope.cancel()
+                else:
+                    stream.close()
+            await wait_until(lambda: not any(n.memory.held_bytes for n in nodes))
+            return [n.memory.held_bytes for n in nodes]
+
+        assert anyio.run(lambda: run_pair(scenario, *nodes)) == [0, 0]
+
+    def test_answer_beyond_the_bound_ends_as_unknown(self):
+        initiator = HoldingNode(b"initiat0")
+        initiator.memory.limit_bytes = 100_000
+
+        async def scenario(stream, acceptor):
+            answer = await stream.call(make_call("/1000000"))
+            later = await stream.call(make_call("/1000"))
+            return answer.outcome, answer.reason, later.outcome
+
+        assert anyio.run(lambda: run_pair(scenario, initiator)) == (
+            Outcome.UNKNOWN,
+            Reason.TOO_LARGE,
+            Outcome.COMPLETED,
+        )
+        assert initiator.memory.held_bytes == 0
