Count what the edge with tickets holds, and send its long answers in parts

Callers saw nodes end: the same crowds as on the other edge, and whole bodies of up to 8 MB, made a node exceed 200 MB.

Cause: uvicorn takes a last body part of any size into its output buffer, and nothing counted whole request bodies, answers, pipelined requests, heads or the answers that are kept for retries of tickets. Connections and requests now have accounts of the budget of the process, responses of the server are counted while they are read, and long answers are sent in parts of 64 KB under the flow control of uvicorn. A kept answer that is evicted is replaced by the outcome unknown, as one that is too long to be kept; the ticket stays used. What a client is evicted for is dropped at once, and scopes refer to no protocol, as cycles would keep it in memory until a collection.

--- a/src/ragworthoist/_forwarding.py
+++ b/src/ragworthoist/_forwarding.py
@@ -8,12 +8,14 @@
 import hashlib
 import os
 from dataclasses import dataclass, field
+from functools import partial
 
 import anyio
 
 from ragworthoist.core.admission import Admission, Entry, EntryState
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
 from ragworthoist.core.levels import DownstreamLevels
+from ragworthoist.core.memory import MemoryBudget, measure_headers
 from ragworthoist.core.retries import RetryAllowance
 from ragworthoist.core.tickets import (
     MAX_KEPT_BODY_BYTES,
@@ -128,9 +130,14 @@
         The admission policy.
     tasks : TaskPool
         Runs the forwarded calls.
+    memory : MemoryBudget, optional
+        Counts the answers that are kept for retries.
     """
 
-    def __init__(self, backend, instance, key, clock, wall_clock, policy, tasks):
+    def __init__(
+        self, backend, instance, key, clock, wall_clock, policy, tasks, memory=None
+    ):
+        self._memory = memory or MemoryBudget()
         self.admission = Admission(policy)
         self.tickets = TicketTable(instance)
         self.downstream = DownstreamLevels()
@@ -198,6 +205,14 @@
             # A ticketed request keeps running, so that retries get its outcome.
             inbound.scope.cancel()
 
+    def refuse_waiting_call(self, inbound):
+        """Refuse `inbound` as shed if it has not been forwarded; return whether so."""
+        if inbound.entry.state is not EntryState.WAITING:
+            return False
+        self.admission.withdraw(inbound.entry)
+        self._settle(inbound, refuse(Reason.SHED, inbound.call))
+        return True
+
     def find(self, token):
         """Return the inbound call that was forwarded with `token`.
 
@@ -251,7 +266,7 @@
     def _start_ticketed(self, call, reply, record):
         if self.is_leaving:
             answer = refuse(Reason.LEAVING, call, retryable=False)
-            _settle_record(record, answer)
+            self._settle_record(record, answer)
             reply(answer)
             return None
         return self._admit(call, reply, record)
@@ -326,27 +341,25 @@
             if answer.outcome is Outcome.NOT_RUN:
                 answer.retryable = False
             waiters = record.waiters
-            _settle_record(record, answer)
+            self._settle_record(record, answer)
             for waiting_reply in waiters:
                 waiting_reply(record.answer)
         inbound.reply(answer)
 
+    def _settle_record(self, record, answer):
+        """Store `answer` in `record` for retries of a ticketed request.
 
-def _settle_record(record, answer):
-    """Store `answer` in `record` for retries of a ticketed request.
-
-    After not-run the ticket is void: a retry with it does not run either.
-    """
-    not_run = answer.outcome is Outcome.NOT_RUN
-    record.state = TicketState.VOID if not_run else TicketState.DONE
-    record.waiters = None
-    if not_run:
-        record.answer = Answer(Outcome.NOT_RUN, Reason.TICKET_VOID, retryable=False)
-    elif len(answer.body) > MAX_KEPT_BODY_BYTES:
-        record.answer = Answer(
-            Outcome.UNKNOWN, Reason.TOO_LARGE, answer.status, retryable=False
-        )
-    else:
+        After not-run the ticket is void: a retry with it does not run either.
+        """
+        not_run = answer.outcome is Outcome.NOT_RUN
+        record.state = TicketState.VOID if not_run else TicketState.DONE
+        record.waiters = None
+        if not_run:
+            record.answer = Answer(Outcome.NOT_RUN, Reason.TICKET_VOID, retryable=False)
+            return
+        if len(answer.body) > MAX_KEPT_BODY_BYTES:
+            record.drop_answer(answer.status)
+            return
         record.answer = Answer(
             answer.outcome,
             answer.reason,
@@ -355,6 +368,10 @@
             answer.body,
             retryable=False,
         )
+        record.account = self._memory.open_account(
+            partial(record.drop_answer, answer.status)
+        )
+        record.account.add(len(answer.body) + measure_headers(answer.headers))
 
 
 def fingerprint_call(call, step=b""):
--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -71,7 +71,7 @@
 
     async def run(self):
         """Serve until `start_leaving` is called, then stop gracefully."""
-        backend = BackendClient(self.settings.node.server.pair)
+        backend = BackendClient(self.settings.node.server.pair, self.memory)
         async with (
             open_store(self.settings.store) as store,
             backend,
@@ -87,6 +87,7 @@
                 self.wall_clock,
                 Policy(Document()).service(self.settings.node.service),
                 self.tasks,
+                self.memory,
             )
             await self._start(StoreSync(self, store, self.settings.fleet))
             await self._leaving.wait()
@@ -110,8 +111,12 @@
         await self._wait_for_server(node.server.pair)
         await self.join(await store_sync.find_peer_addresses())
         await store_sync.load_initial()
-        self._entrance = HttpServer(EntranceApplication(self), node.entrance.pair)
-        self._onward = HttpServer(OnwardApplication(self), node.onward.pair)
+        self._entrance = HttpServer(
+            EntranceApplication(self), node.entrance.pair, self.memory
+        )
+        self._onward = HttpServer(
+            OnwardApplication(self), node.onward.pair, self.memory
+        )
         await start(self._onward.run)
         await start(self._entrance.run)
         self.tasks.keep_running(self.datagrams.receive, self._on_message)
@@ -159,9 +164,9 @@
             return None
         return self.forwarder.submit(call, reply)
 
-    def refuse_waiting_call(self, _handle):
-        """Return False: no call of a peer is refused while it waits."""
-        return False
+    def refuse_waiting_call(self, handle):
+        """Refuse a peer's call that has not been forwarded; return whether so."""
+        return self.forwarder.refuse_waiting_call(handle)
 
     def cancel_call(self, handle):
         """Cancel the call of a peer."""
--- a/src/ragworthoist/core/tickets.py
+++ b/src/ragworthoist/core/tickets.py
@@ -15,6 +15,7 @@
 
 import msgpack
 
+from ragworthoist.core.entities import Answer, Outcome, Reason
 from ragworthoist.exceptions import ExpiredTicketError, MalformedTicketError
 
 MAX_LIFETIME_SECONDS = 600.0
@@ -59,6 +60,8 @@
         Answer to repeated attempts, once there is one.
     waiters : list of callable or None
         Functions that reply to attempts which wait for the answer.
+    account : MemoryAccount or None
+        Counts the answer.
     """
 
     expires: float
@@ -66,6 +69,16 @@
     state: TicketState = TicketState.WAITING
     answer: object = None
     waiters: object = None
+    account: object = None
+
+    def drop_answer(self, status):
+        """Answer repeated attempts with `UNKNOWN` from now on."""
+        self.answer = Answer(Outcome.UNKNOWN, Reason.TOO_LARGE, status, retryable=False)
+
+    def close(self):
+        """Give back what the record holds."""
+        if self.account is not None:
+            self.account.close()
 
 
 def seal_ticket(ticket, key):
@@ -136,7 +149,7 @@
         while self._expiries and self._expiries[0][0] <= now:
             expires, nonce = heapq.heappop(self._expiries)
             if self._records[nonce].state >= TicketState.DONE:
-                del self._records[nonce]
+                self._records.pop(nonce).close()
             else:
                 unsettled.append((expires, nonce))
         for expiry in unsettled:
--- a/src/ragworthoist/net/backend.py
+++ b/src/ragworthoist/net/backend.py
@@ -4,6 +4,7 @@
 from yarl import URL
 
 from ragworthoist.core.entities import Answer, Outcome, Reason
+from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.net.exchanges import MAX_STATUS
 from ragworthoist.net.frames import MAX_BODY_BYTES
 from ragworthoist.net.web import (
@@ -27,9 +28,12 @@
     ----------
     address : tuple
         (host, port) of the backend server.
+    memory : MemoryBudget, optional
+        Counts the responses that are being received.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, memory=None):
+        self._memory = memory or MemoryBudget()
         host, port = address
         self._base_url = f"http://{host}:{port}"
         self._session = None
@@ -91,14 +95,16 @@
         declared = response.content_length
         if declared is not None and declared > MAX_BODY_BYTES:
             return None
-        if declared is not None:
-            return await response.read()
         body = bytearray()
-        async for part in response.content.iter_any():
-            body += part
-            if len(body) > MAX_BODY_BYTES:
-                return None
-        return bytes(body)
+        # The number of responses is bounded by the limit of calls at the server, so
+        # others are evicted for them.
+        with self._memory.open_account() as account:
+            async for part in response.content.iter_any():
+                body += part
+                account.add(len(part))
+                if len(body) > MAX_BODY_BYTES:
+                    return None
+            return bytes(body)
 
 
 def _make_answer(response, body, token):
--- a/src/ragworthoist/net/entrance.py
+++ b/src/ragworthoist/net/entrance.py
@@ -17,10 +17,12 @@
     compute_draw,
     refuse,
 )
+from ragworthoist.core.memory import measure_headers
 from ragworthoist.core.retries import RetryAllowance
 from ragworthoist.exceptions import BodyTooLargeError, CallerGoneError
 from ragworthoist.net.frames import MAX_BODY_BYTES
 from ragworthoist.net.web import (
+    CLOSE_CONNECTION,
     DEADLINE_HEADER,
     MAX_HEADER_BYTES,
     OUTCOME_HEADER,
@@ -70,21 +72,32 @@
         """Serve one HTTP request; other ASGI scopes are ignored."""
         if scope["type"] != "http":
             return
+        received = bytearray()
+
+        def evict():
+            received.clear()
+            close_connection()
+
+        close_connection = scope.get(CLOSE_CONNECTION)
+        with self._node.memory.open_account(close_connection and evict) as account:
+            await self._receive(scope, receive, send, account, received)
+
+    async def _receive(self, scope, receive, send, account, received):
         headers = scope["headers"]
         if sum(len(n) + len(v) for n, v in headers) > MAX_HEADER_BYTES:
-            await self._respond(send, refuse(Reason.TOO_LARGE), status=431)
+            await self._respond(send, account, refuse(Reason.TOO_LARGE), status=431)
             return
         if self._declares_oversized_body(headers):
-            await self._respond(send, refuse(Reason.TOO_LARGE))
+            await self._respond(send, account, refuse(Reason.TOO_LARGE))
             return
         try:
-            body = await read_body(receive, MAX_BODY_BYTES)
+            body = await read_body(receive, MAX_BODY_BYTES, account.add, received)
         except BodyTooLargeError:
-            await self._respond(send, refuse(Reason.TOO_LARGE))
+            await self._respond(send, account, refuse(Reason.TOO_LARGE))
             return
         except CallerGoneError:
             return
-        await self._serve(scope, receive, send, body)
+        await self._serve(scope, receive, send, account, body)
 
     def _declares_oversized_body(self, headers):
         declared = find_header(headers, b"content-length")
@@ -116,7 +129,8 @@
             return answer
         return None
 
-    async def _respond(self, send, answer, status=None, extra=()):
+    async def _respond(self, send, account, answer, status=None, extra=()):
+        account.add(len(answer.body) + measure_headers(answer.headers))
         status = (
             status
             or answer.status
@@ -162,7 +176,7 @@
     call chain.
     """
 
-    async def _serve(self, scope, receive, send, body):
+    async def _serve(self, scope, receive, send, account, body):
         node = self._node
         node.open_requests += 1
         started = node.clock()
@@ -170,11 +184,11 @@
             call, kind = self._make_call(scope, body)
             if call is None:
                 answer = refuse(kind)
-                await self._respond(send, answer)
+                await self._respond(send, account, answer)
                 return
             answer, extra = await self._answer(call, kind, receive)
             if answer is not None:
-                await self._respond(send, answer, extra=extra)
+                await self._respond(send, account, answer, extra=extra)
         finally:
             node.open_requests -= 1
         if answer is not None:
@@ -248,19 +262,19 @@
     request for which the server makes it.
     """
 
-    async def _serve(self, scope, receive, send, body):
+    async def _serve(self, scope, receive, send, account, body):
         if scope["path"].startswith(CONTROL_PREFIX):
             await self._handle_control(scope["path"], send)
             return
         node = self._node
         if node.policy is None:
-            await self._respond(send, refuse(Reason.NO_CONFIGURATION))
+            await self._respond(send, account, refuse(Reason.NO_CONFIGURATION))
             return
         token = find_header(scope["headers"], REQUEST_HEADER).decode("ascii", "replace")
         inbound = node.forwarder.find(token)
         call = self._make_call(scope, body, inbound)
         if call is None:
-            await self._respond(send, refuse(Reason.UNKNOWN_ROUTE))
+            await self._respond(send, account, refuse(Reason.UNKNOWN_ROUTE))
             return
         if inbound is None:
             answer = await self._dispatch_until_disconnect(
@@ -270,7 +284,7 @@
             step = find_header(scope["headers"], STEP_HEADER)
             answer = await self._serve_inbound(inbound, call, step, receive)
         if answer is not None:
-            await self._respond(send, answer)
+            await self._respond(send, account, answer)
 
     async def _handle_control(self, path, send):
         action = path.removeprefix(CONTROL_PREFIX)
--- a/src/ragworthoist/net/httpserver.py
+++ b/src/ragworthoist/net/httpserver.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+from collections import deque
+from functools import partial
 
 import anyio
 import uvicorn
@@ -13,8 +15,14 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ragworthoist.core.entities import Outcome, Reason
+from ragworthoist.core.memory import HEADER_OVERHEAD_BYTES, REQUEST_OVERHEAD_BYTES
 from ragworthoist.exceptions import NotReadyError
-from ragworthoist.net.web import MAX_HEADER_BYTES, OUTCOME_HEADER, REASON_HEADER
+from ragworthoist.net.web import (
+    CLOSE_CONNECTION,
+    MAX_HEADER_BYTES,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+)
 
 BACKLOG = 2048
 KEEP_ALIVE_SECONDS = 30
@@ -27,20 +35,65 @@
     uvicorn itself accepts a head of any length and passes it on once it is complete.
     """
 
-    def __init__(self, *arguments, **options):
+    def __init__(self, memory, *arguments, **options):
         super().__init__(*arguments, **options)
+        self._memory = memory
+        self._account = None
         self._in_head = True
+        self._is_closed = False
         self._head_bytes = 0
+        # What the account counts: heads by request, in the order of their responses,
+        # output that the client does not take, and what was not read of a body.
+        self._head_held_bytes = 0
+        self._heads = deque()
+        self._stalled_bytes = 0
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        self._account = self._memory.open_account(self.close_at_once)
+
+    def connection_lost(self, error):
+        self._account.close()
+        self.pipeline.clear()
+        self.headers = []
+        super().connection_lost(error)
+
+    def close_at_once(self):
+        """Close the connection and drop what is held for it."""
+        self._is_closed = True
+        if self._in_head:
+            self.headers.clear()
+        if self.cycle is not None:
+            self.cycle.body = b""
+        self.pipeline.clear()
+        self.transport.abort()
 
     def on_message_begin(self):
         self._in_head = True
         self._head_bytes = 0
+        self._head_held_bytes = REQUEST_OVERHEAD_BYTES
         super().on_message_begin()
+        # Not a method of this object, which refers to the scope.
+        self.scope[CLOSE_CONNECTION] = self.transport.abort
+
+    def on_header(self, name, value):
+        if self._is_closed:
+            # Ends the parsing of what was received.
+            raise ConnectionAbortedError
+        self._head_held_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        super().on_header(name, value)
 
     def on_headers_complete(self):
         self._in_head = False
+        self._heads.append(self._head_held_bytes)
+        self._account.add(self._head_held_bytes)
+        self._head_held_bytes = 0
         super().on_headers_complete()
 
+    def on_response_complete(self):
+        self._account.add(-self._heads.popleft())
+        super().on_response_complete()
+
     def data_received(self, data):
         was_in_head = self._in_head
         super().data_received(data)
@@ -48,9 +101,28 @@
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEADER_BYTES:
                 self._refuse(431, "Request Header Fields Too Large", Reason.TOO_LARGE)
+        self._count_held()
+
+    def pause_writing(self):
+        self._stalled_bytes = self.transport.get_write_buffer_size()
+        self._count_held()
+        super().pause_writing()
+
+    def resume_writing(self):
+        self._stalled_bytes = 0
+        self._count_held()
+        super().resume_writing()
+
+    def _count_held(self):
+        # The application counts what it has read of a body.
+        unread = 0 if self.cycle is None else len(self.cycle.body)
+        self._account.resize(
+            sum(self._heads) + self._head_held_bytes + self._stalled_bytes + unread
+        )
 
     def send_400_response(self, _message):
-        self._refuse(400, "Bad Request", Reason.MALFORMED)
+        if not self._is_closed:
+            self._refuse(400, "Bad Request", Reason.MALFORMED)
 
     def _refuse(self, status, phrase, reason):
         lines = [
@@ -81,16 +153,18 @@
         The ASGI application.
     address : tuple
         (host, port) to listen on.
+    memory : MemoryBudget
+        Counts what the connections hold.
     """
 
-    def __init__(self, application, address):
+    def __init__(self, application, address, memory):
         host, port = address
         self._address = address
         config = uvicorn.Config(
             application,
             host=host,
             port=port,
-            http=_BoundedProtocol,
+            http=partial(_BoundedProtocol, memory),
             ws="none",
             lifespan="off",
             log_config=None,
--- a/src/ragworthoist/net/web.py
+++ b/src/ragworthoist/net/web.py
@@ -3,7 +3,11 @@
 from ragworthoist.exceptions import BodyTooLargeError, CallerGoneError
 
 MAX_HEADER_BYTES = 32_768
+# Largest part of a response body that is passed to the server at once.
+PART_BYTES = 65_536
 
+# Key of an ASGI scope: closes the connection of the request at once.
+CLOSE_CONNECTION = "ragworthoist.close_connection"
 # Token of a forwarded call. The server sends it with its onward calls.
 REQUEST_HEADER = b"ragworthoist-request"
 # Outcome and reason of an answer, in responses of the node.
@@ -40,9 +44,20 @@
 )
 
 
-async def read_body(receive, limit):
+async def read_body(receive, limit, count=lambda size: None, parts=None):
     """Return the complete body of a request.
 
+    Parameters
+    ----------
+    receive : callable
+        Returns the next message of the ASGI server.
+    limit : int
+        Largest length in bytes.
+    count : callable, optional
+        Called with the size of each part that is received.
+    parts : bytearray, optional
+        Where the body is collected; empty afterwards.
+
     Raises
     ------
     BodyTooLargeError
@@ -50,30 +65,43 @@
     CallerGoneError
         If the caller disconnects before the body is complete.
     """
-    message = await receive()
-    if message["type"] != "http.request":
-        raise CallerGoneError
-    body = message.get("body", b"")
-    if not message.get("more_body"):
-        if len(body) > limit:
-            raise BodyTooLargeError(limit)
-        return body
-    parts = bytearray(body)
-    while message.get("more_body"):
+    parts = bytearray() if parts is None else parts
+    has_more = True
+    while has_more:
         message = await receive()
         if message["type"] != "http.request":
             raise CallerGoneError
-        parts += message.get("body", b"")
+        part = message.get("body", b"")
+        has_more = message.get("more_body")
+        if not (parts or has_more):
+            count(len(part))
+            if len(part) > limit:
+                raise BodyTooLargeError(limit)
+            return part
+        parts += part
+        count(len(part))
         if len(parts) > limit:
             raise BodyTooLargeError(limit)
-    return bytes(parts)
+    body = bytes(parts)
+    parts.clear()
+    return body
 
 
 async def respond(send, status, headers=(), body=b""):
-    """Send a complete response."""
+    """Send a complete response.
+
+    A long body is sent in parts, so that few of its bytes wait in the server's buffers
+    while the caller reads slowly.
+    """
     headers = [*headers, (b"content-length", b"%d" % len(body))]
     await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": body})
+    view = memoryview(body)
+    for start in range(0, len(body) - PART_BYTES, PART_BYTES):
+        part = bytes(view[start : start + PART_BYTES])
+        await send({"type": "http.response.body", "body": part, "more_body": True})
+    # Of an empty body, this is all.
+    start = max(0, (len(body) - 1) // PART_BYTES * PART_BYTES)
+    await send({"type": "http.response.body", "body": bytes(view[start:])})
 
 
 def forward_headers(headers):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,6 +19,7 @@
 from ragworthoist.core.entities import Answer, Outcome, Reason, refuse
 from ragworthoist.core.members import Member
 from ragworthoist.core.membership import Membership
+from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.core.policy import Policy
 from ragworthoist.core.routing import Router
 from ragworthoist.net.entrance import EntranceApplication, OnwardApplication
@@ -215,6 +216,7 @@
             self.tasks,
         )
         self.dispatcher = Dispatcher(self)
+        self.memory = MemoryBudget()
         self.entrance = EntranceApplication(self)
         self.onward = OnwardApplication(self)
         self.tasks.keep_running(self._tick)
