Keep half of the descriptors for servers, peers and the store

Callers got no answer beside a crowd that holds connections: with 200 descriptors and 400 connections that are idle, kept, in an upload or in an answer, a node had none left for its server or a peer, on both edges.

Cause: nothing bounded the connections of clients; accept took every descriptor. Now they may use half of them (limits.descriptors, by default the limit that the process finds). For one more, core/connections.py chooses those that have waited longest for their client; a connection whose request runs is never chosen, and if there is no other the new one is refused. A connection that is dripped on stays old, as it counts from the start of its request.

--- a/src/ragworthoist/_node.py
+++ b/src/ragworthoist/_node.py
@@ -9,7 +9,7 @@
 from ragworthoist._document import Document
 from ragworthoist._fleet import FleetNode
 from ragworthoist._forwarding import Forwarder
-from ragworthoist._limits import make_memory_budget
+from ragworthoist._limits import make_connection_budget, make_memory_budget
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist._store_sync import StoreSync
 from ragworthoist._tasks import TaskPool
@@ -112,7 +112,10 @@
         await self.join(await store_sync.find_peer_addresses())
         await store_sync.load_initial()
         self._entrance = HttpServer(
-            EntranceApplication(self), node.entrance.pair, self.memory
+            EntranceApplication(self),
+            node.entrance.pair,
+            self.memory,
+            make_connection_budget(self.settings.limits),
         )
         self._onward = HttpServer(
             OnwardApplication(self), node.onward.pair, self.memory
--- a/src/ragworthoist/_settings.py
+++ b/src/ragworthoist/_settings.py
@@ -155,10 +155,13 @@
     """What the process may use of its machine.
 
     `memory_mb` is the memory of the machine in units of 2**20 bytes, a quarter of which
-    may be held for clients, servers and peers.
+    may be held for clients, servers and peers. `descriptors` is the number of
+    descriptors, half of which may be connections of clients; without it, the limit
+    that the process finds at its start.
     """
 
     memory_mb: int = Field(default=200, ge=64)
+    descriptors: int | None = Field(default=None, ge=64)
 
 
 class AttemptSettings(_Model):
--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -9,7 +9,7 @@
 import anyio
 
 from ragworthoist._fleet import FleetNode
-from ragworthoist._limits import make_memory_budget
+from ragworthoist._limits import make_connection_budget, make_memory_budget
 from ragworthoist._outcomes import OutcomeTable
 from ragworthoist._settings import load_settings
 from ragworthoist._tasks import TaskPool
@@ -102,6 +102,7 @@
             settings.node.entrance.pair,
             _log_malformed,
             memory,
+            make_connection_budget(settings.limits),
         )
         self.pauses = PauseMeter()
         self.is_ready = False
--- a/src/ragworthoist/edge/observing.py
+++ b/src/ragworthoist/edge/observing.py
@@ -75,6 +75,7 @@
         ],
         "peer_streams": len(node.peers),
         "memory": node.memory.describe(),
+        "client_connections": len(node.entrance.connections),
         "in_progress": node.in_progress,
         "store_calls": dict(node.store.calls) if node.store else {},
     }
--- a/src/ragworthoist/net/httpserver.py
+++ b/src/ragworthoist/net/httpserver.py
@@ -14,6 +14,7 @@
 from hypercorn.config import Config
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from ragworthoist.core.connections import ConnectionBudget
 from ragworthoist.core.entities import Outcome, Reason
 from ragworthoist.core.memory import HEADER_OVERHEAD_BYTES, REQUEST_OVERHEAD_BYTES
 from ragworthoist.exceptions import NotReadyError
@@ -35,24 +36,42 @@
     uvicorn itself accepts a head of any length and passes it on once it is complete.
     """
 
-    def __init__(self, memory, *arguments, **options):
+    def __init__(self, bounds, *arguments, **options):
         super().__init__(*arguments, **options)
-        self._memory = memory
+        self._bounds = bounds
         self._account = None
         self._in_head = True
         self._is_closed = False
         self._head_bytes = 0
+        self._began_at = 0.0
         # What the account counts: heads by request, in the order of their responses,
         # output that the client does not take, and what was not read of a body.
         self._head_held_bytes = 0
         self._heads = deque()
         self._stalled_bytes = 0
 
+    @property
+    def waiting_since(self):
+        """Time from which the connection has waited for its client.
+
+        It is in seconds of the event loop's clock, None if it waits for this node.
+        """
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            return self._began_at
+        if self.flow.write_paused or cycle.more_body:
+            return self._began_at
+        return None
+
     def connection_made(self, transport):
         super().connection_made(transport)
-        self._account = self._memory.open_account(self.close_at_once)
+        self._began_at = self.loop.time()
+        self._account = self._bounds.memory.open_account(self.close_at_once)
+        if not self._bounds.admit(self):
+            self.close_at_once()
 
     def connection_lost(self, error):
+        self._bounds.connections.discard(self)
         self._account.close()
         self.pipeline.clear()
         self.headers = []
@@ -61,7 +80,7 @@
     def close_at_once(self):
         """Close the connection and drop what is held for it."""
         self._is_closed = True
-        if self._in_head:
+        if self._in_head and self.headers:
             self.headers.clear()
         if self.cycle is not None:
             self.cycle.body = b""
@@ -72,6 +91,7 @@
         self._in_head = True
         self._head_bytes = 0
         self._head_held_bytes = REQUEST_OVERHEAD_BYTES
+        self._began_at = self.loop.time()
         super().on_message_begin()
         # Not a method of this object, which refers to the scope.
         self.scope[CLOSE_CONNECTION] = self.transport.abort
@@ -92,6 +112,7 @@
 
     def on_response_complete(self):
         self._account.add(-self._heads.popleft())
+        self._began_at = self.loop.time()
         super().on_response_complete()
 
     def data_received(self, data):
@@ -136,6 +157,34 @@
         self.transport.close()
 
 
+class _ConnectionBounds:
+    """What the connections at one address share.
+
+    Parameters
+    ----------
+    memory : MemoryBudget
+        Counts what the connections hold.
+    connection_budget : ConnectionBudget
+        Bound on the number of connections.
+    """
+
+    def __init__(self, memory, connection_budget):
+        self.memory = memory
+        self.connections = set()
+        self._connection_budget = connection_budget
+
+    def admit(self, connection):
+        """Add `connection`, for which others may be closed; return False if refused."""
+        excess = self._connection_budget.select_excess(self.connections)
+        if excess is None:
+            return False
+        for other in excess:
+            self.connections.discard(other)
+            other.close_at_once()
+        self.connections.add(connection)
+        return True
+
+
 class _Server(uvicorn.Server):
     """uvicorn server without signal handlers; the node handles signals."""
 
@@ -155,16 +204,19 @@
         (host, port) to listen on.
     memory : MemoryBudget
         Counts what the connections hold.
+    connection_budget : ConnectionBudget, optional
+        Bound on the number of connections.
     """
 
-    def __init__(self, application, address, memory):
+    def __init__(self, application, address, memory, connection_budget=None):
         host, port = address
+        bounds = _ConnectionBounds(memory, connection_budget or ConnectionBudget())
         self._address = address
         config = uvicorn.Config(
             application,
             host=host,
             port=port,
-            http=partial(_BoundedProtocol, memory),
+            http=partial(_BoundedProtocol, bounds),
             ws="none",
             lifespan="off",
             log_config=None,
--- a/src/ragworthoist/net/listener.py
+++ b/src/ragworthoist/net/listener.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 
+from ragworthoist.core.connections import ConnectionBudget
 from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.core.routes import RequestLimits
 from ragworthoist.core.turns import ParsingTurns
@@ -34,6 +35,8 @@
         Called with the HTTP status with which a request was refused.
     memory : MemoryBudget, optional
         Counts what the connections hold.
+    connection_budget : ConnectionBudget, optional
+        Bound on the number of connections.
     """
 
     def __init__(
@@ -42,9 +45,11 @@
         address,
         report_refused=lambda status: None,
         memory=None,
+        connection_budget=None,
     ):
         self._handle = handle
         self._address = address
+        self._connection_budget = connection_budget or ConnectionBudget()
         self._turns = ParsingTurns()
         self._is_turn_scheduled = False
         self.memory = memory or MemoryBudget()
@@ -82,6 +87,16 @@
         """Number of requests without a complete response."""
         return sum(len(connection._requests) for connection in self.connections)
 
+    def admit(self):
+        """Make room for one more connection; return False if there is none."""
+        excess = self._connection_budget.select_excess(self.connections)
+        if excess is None:
+            return False
+        for connection in excess:
+            self.connections.discard(connection)
+            connection.close_at_once()
+        return True
+
     def wait_for_turn(self, connection):
         """Let `connection` parse the rest of its input when it is its turn."""
         self._turns.join(connection)
--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -123,7 +123,7 @@
     Parameters
     ----------
     listener : Listener
-        Provides `loop`, `limits`, `memory`, `run_handler`, `report_refused`,
+        Provides `loop`, `limits`, `memory`, `run_handler`, `report_refused`, `admit`,
         `wait_for_turn`, the set `connections`, and whether the node `is_draining` or
         `is_stopping`.
     """
@@ -158,6 +158,7 @@
         self._in_head = False
         self._head_started_at = 0.0
         self._message_started_at = 0.0
+        self._response_started_at = 0.0
         self.last_active = 0.0
         self._writable = None
         self._is_reading = True
@@ -173,7 +174,10 @@
         set_socket_timeouts(transport.get_extra_info("socket"))
         self._output = OutputMonitor(self._loop, transport, self._get_stall_limit)
         self.last_active = self._loop.time()
-        self._listener.connections.add(self)
+        if self._listener.admit():
+            self._listener.connections.add(self)
+        else:
+            self.close_at_once()
 
     def connection_lost(self, error):
         """Abandon the requests of a disconnected client."""
@@ -335,6 +339,25 @@
         self._unparsed = b""
         self._refuse(503, _COME_BACK)
 
+    @property
+    def waiting_since(self):
+        """Time from which the connection has waited for its client.
+
+        It is in seconds of the event loop's clock, None if it waits for this node.
+        """
+        if self._writable is not None or self._is_closing:
+            return self._response_started_at
+        if self._in_head:
+            return self._head_started_at
+        if self._current is not None:
+            return self._message_started_at if self._is_reading else None
+        return None if self._requests else self.last_active
+
+    def close_at_once(self):
+        """Close the connection and give its descriptor back."""
+        self._is_closing = True
+        self._transport.abort()
+
     def pause_writing(self):
         """Pause a streamed response while the client reads slowly."""
         self._writable = self._loop.create_future()
@@ -472,6 +495,7 @@
         is_last = len(self._requests) == 1
         should_close = close or not request.keep_alive
         should_close = should_close or (self._listener.is_draining and is_last)
+        self._response_started_at = self._loop.time()
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, _get_reason_phrase(status))]
         for name, value in headers:
             if name not in _FRAMING_HEADERS:
--- a/tests/net/test_requests.py
+++ b/tests/net/test_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ragworthoist.core.connections import ConnectionBudget
 from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.core.routes import RequestLimits
 from ragworthoist.core.turns import FREE_ITEMS, ITEMS_PER_TURN
@@ -69,9 +70,14 @@
 class Client:
     """A listener with `handle`, and a client that is connected to it."""
 
-    def __init__(self, handle, memory=None):
-        self.memory = memory or MemoryBudget()
-        self.listener = Listener(handle, ("127.0.0.1", 0), memory=self.memory)
+    def __init__(self, handle, connection_limit=float("inf")):
+        self.memory = MemoryBudget()
+        self.listener = Listener(
+            handle,
+            ("127.0.0.1", 0),
+            memory=self.memory,
+            connection_budget=ConnectionBudget(connection_limit),
+        )
         self.listener.limits = LIMITS
 
     async def __aenter__(self):
@@ -295,3 +301,41 @@
             return [(await client.read_answer())[2] for _ in range(40)]
 
     assert asyncio.run(run()) == [b"/ " + body, b"/7 "] * 20
+
+
+async def answer_long(request):
+    await request.respond(200, [], b"x" * 10_000_000)
+
+
+STATES = {
+    "idle": (echo, b"", True),
+    "in a head": (echo, GET[:-2] % 1, True),
+    "in a short upload": (echo, UPLOAD + make_chunks([b"xy"]), True),
+    "in a long upload": (echo, UPLOAD + make_chunks([b"x" * LARGE]), True),
+    "answered": (echo, GET % 1, True),
+    "reads nothing": (answer_long, GET % 1, True),
+    "running": (wait, GET % 1, False),
+}
+
+
+@pytest.mark.parametrize(("handle", "sent", "is_closed"), STATES.values(), ids=STATES)
+def test_clients_that_wait_longest_use_up_the_connections(handle, sent, is_closed):
+    """Only a connection whose request runs is kept, and the new one refused."""
+
+    async def run():
+        async with asyncio.timeout(HANG_SECONDS), Client(handle, 1) as client:
+            await client.send(sent)
+            await client.wait_until(lambda: client.listener.connections)
+            await asyncio.sleep(0.1)
+            (first,) = client.listener.connections
+            address = client.listener._server.sockets[0].getsockname()
+            reader, writer = await asyncio.open_connection(*address)
+            await client.wait_until(
+                lambda: reader.at_eof() or first not in client.listener.connections
+            )
+            kept = client.listener.connections
+            assert len(kept) <= 1
+            writer.close()
+            return first not in kept
+
+    assert asyncio.run(run()) is is_closed
