Ignore an offer to upgrade a connection

Cause: the parser stops behind such a head and raises; the connection refused what it had started. The head now comes again without the offer, to a new parser; CONNECT, which cannot be served, is refused before anything has started.

--- a/src/ragworthoist/net/requests.py
+++ b/src/ragworthoist/net/requests.py
@@ -276,21 +276,39 @@
             self._head_started_at = self.last_active
             self._raw_head_bytes = 0
             self._begun_count = 0
-        self._framing_bytes += len(data)
+        size = len(data)
+        self._framing_bytes += size
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
+            while data:
+                data = self._feed(data)
         except httptools.HttpParserError:
             if not self._is_refused:
                 self._refuse(400)
         if self._in_head:
-            self._check_partial_head(len(data))
+            self._check_partial_head(size)
         elif self._current is None:
             self._framing_bytes = 0
         elif self._framing_bytes > MAX_FRAMING_BYTES:
             self._refuse_body(400)
 
+    def _feed(self, data):
+        """Parse `data`, and return what follows a head with an offer to upgrade.
+
+        The offer is ignored, as HTTP allows. The parser stops behind such a head, so
+        another one gets the head without the offer.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            method = self._parser.get_method()
+            if method == b"CONNECT":
+                self._refuse(400)
+                return b""
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(_make_head_without_offer(method, self))
+            return data[upgrade.args[0] :]
+        return b""
+
     def _check_partial_head(self, count):
         """Refuse a head whose end has not come, but more bytes than a head may have."""
         if self._begun_count > 1:
@@ -414,6 +432,9 @@
     def on_headers_complete(self):
         """Check the head of a request against the limits."""
         self._in_head = False
+        if self._parser.should_upgrade():
+            # Comes again without the offer.
+            return
         if self._head_bytes > self._listener.limits.max_head_bytes:
             self._refuse(431)
         if self._is_refused:
@@ -737,3 +758,11 @@
 
 def _get_reason_phrase(status):
     return _REASON_PHRASES.get(status, "Unknown").encode()
+
+
+def _make_head_without_offer(method, connection):
+    parts = [b"%b %b HTTP/1.1\r\n" % (method, b"".join(connection._url))]
+    for name, value in connection._headers:
+        if name != b"upgrade":
+            parts.append(b"%b: %b\r\n" % (name, value))
+    return b"".join([*parts, b"\r\n"])
--- a/tests/net/test_requests.py
+++ b/tests/net/test_requests.py
@@ -339,3 +339,35 @@
             return first not in kept
 
     assert asyncio.run(run()) is is_closed
+
+
+OFFER = b"%b /%d HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: x/1\r\n%b\r\n%b"
+
+
+@pytest.mark.parametrize(
+    ("method", "framing", "body"),
+    [
+        (b"GET", b"", b""),
+        (b"POST", b"content-length: 5\r\n", b"abcde"),
+        (b"POST", b"transfer-encoding: chunked\r\n", b"5\r\nabcde\r\n0\r\n\r\n"),
+    ],
+    ids=["no body", "length", "chunks"],
+)
+@pytest.mark.parametrize("is_split", [False, True], ids=["at once", "split"])
+def test_request_that_offers_an_upgrade_is_answered_twice(
+    method, framing, body, is_split
+):
+    async def run():
+        async with asyncio.timeout(HANG_SECONDS), Client(echo) as client:
+            content = b"abcde" if body else b""
+            for number in range(3):
+                sent = OFFER % (method, number, framing, body) + GET % 9
+                parts = [sent[:-40], sent[-40:]] if is_split else [sent]
+                for part in parts:
+                    await client.send(part)
+                    await asyncio.sleep(0.01)
+                status, _, answer = await client.read_answer()
+                assert (status, answer) == (200, b"/%d " % number + content)
+                assert (await client.read_answer())[2] == b"/9 "
+
+    asyncio.run(run())
