Show that the largest requests inside the limits are served in calm

Heads of 16 KB (32 KB with tickets), 2,500 small headers, a body of 16 MB and 200,000 chunks of two bytes, one after the other, with the default limits.

--- a/tests/lab/test_crowds.py
+++ b/tests/lab/test_crowds.py
@@ -44,16 +44,19 @@
     return int(line.split()[1]) * 1024
 
 
-async def request_once(port, host, target, number):
-    """Return the status of one request on a connection of its own."""
+async def request_once(port, host, target, number, more="\r\n", body=b""):
+    """Return the status of one request on a connection of its own.
+
+    `more` ends the head.
+    """
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     try:
         head = (
-            f"GET {target} HTTP/1.1\r\nhost: {host}\r\n"
+            f"{'POST' if body else 'GET'} {target} HTTP/1.1\r\nhost: {host}\r\n"
             f"attempt-id: ordinary-{number}\r\ndeadline-ms: 10000\r\n"
-            "connection: close\r\n\r\n"
+            f"connection: close\r\n{more}"
         )
-        writer.write(head.encode())
+        writer.write(head.encode() + body)
         status_line = await reader.readline()
         await reader.read()
         return int(status_line.split()[1])
@@ -129,6 +132,22 @@
 ]
 
 
+# Heads and bodies as large as clients may send them; stand-in servers take 16 MB.
+LARGEST_ATTEMPTS = {
+    "head": ("x: " + "y" * 16_000 + "\r\n\r\n", b""),
+    "many headers": ("a: b\r\n" * 2500 + "\r\n", b""),
+    "body": ("content-length: 16000000\r\n\r\n", b"x" * 16_000_000),
+    "chunks": (
+        "transfer-encoding: chunked\r\n\r\n",
+        b"2\r\nxy\r\n" * 200_000 + b"0\r\n\r\n",
+    ),
+}
+LARGEST_WITH_TICKETS = {
+    "head": ("x: " + "y" * 32_000 + "\r\n\r\n", b""),
+    "many headers": ("a: b\r\n" * 4000 + "\r\n", b""),
+}
+
+
 class TestAttempts:
     def _run(self, case, descriptor_limit=None):
         services = {"shop": 1, "stock": 1}
@@ -157,6 +176,19 @@
     def test_crowd_exhausts_the_descriptors_of_a_node(self, case):
         assert self._run(case, DESCRIPTOR_LIMIT) == []
 
+    def test_largest_request_in_calm_is_refused(self):
+        with Mesh({"shop": 1, "stock": 1}) as mesh:
+            mesh.configure({"/stock/": {"service": "stock"}})
+            mesh.wait_until_ready()
+            port = mesh.endpoints[0].ports["entrance"]
+            statuses = {
+                name: asyncio.run(
+                    request_once(port, VIRTUAL_HOST, "/stock/x", name[:2], *sent)
+                )
+                for name, sent in LARGEST_ATTEMPTS.items()
+            }
+        assert statuses == dict.fromkeys(LARGEST_ATTEMPTS, 200)
+
 
 class TestTickets:
     def _run(self, case, descriptor_limit=None):
@@ -185,3 +217,15 @@
     @pytest.mark.parametrize("case", DESCRIPTOR_CASES, ids=str)
     def test_crowd_exhausts_the_descriptors_of_a_node(self, case):
         assert self._run(case, DESCRIPTOR_LIMIT) == []
+
+    def test_largest_request_in_calm_is_refused(self):
+        services = [ServiceSpec("shop", 1, 8, 5), ServiceSpec("stock", 1, 8, 5)]
+        with Fleet(services) as fleet:
+            _, stock = fleet.endpoints
+            fleet.control_server(stock, "behaviour", {"answer_bytes": 8_000_000})
+            port = fleet.endpoints[0].ports["entrance"]
+            statuses = {
+                name: asyncio.run(request_once(port, "a", "/stock/check", name, *sent))
+                for name, sent in LARGEST_WITH_TICKETS.items()
+            }
+        assert statuses == dict.fromkeys(LARGEST_WITH_TICKETS, 200)
