Hold the time limit of a call for the rest of its answer too

Cause: the timer of an exchange was cancelled as soon as a long body began, and no other limit followed. The timer now stays until the body is complete; a body that the server has not sent by then is cut, and the connection closed. If only the reader was slow, what may be ready is still read: up to 256 KB, and for 0.1 s after the reader went on.

--- a/src/ragworthoist/net/exchanges.py
+++ b/src/ragworthoist/net/exchanges.py
@@ -27,6 +27,10 @@
 MAX_UNDELIVERED_BYTES = 256 * 1024
 # The framing of a chunk with an ordinary extension.
 CHUNK_FRAMING_BYTES = 32
+# What may still be read of a body after its time limit if only its reader was slow: the
+# server may have sent all of it in time.
+MAX_LATE_BYTES = 256 * 1024
+LATE_READ_SECONDS = 0.1
 # Range of the status codes of HTTP.
 MIN_STATUS = 100
 MAX_STATUS = 599
@@ -49,7 +53,8 @@
     `received` is the body as long as it is short; a long body is passed on through
     `pipe`. `is_skipped` marks a response that is parsed but not delivered: an
     informational one, or one to another request. `has_framing` tells whether the
-    headers determine where the body ends.
+    headers determine where the body ends. `is_late` tells whether the time limit passed
+    while nothing was read of the body, and `late_bytes` how much was read since.
     """
 
     headers: list = field(default_factory=list)
@@ -59,6 +64,8 @@
     is_skipped: bool = False
     has_framing: bool = False
     keep_alive: bytes = b""
+    is_late: bool = False
+    late_bytes: int = 0
 
 
 # Stands for a response that is in other hands, so that its headers are not held twice.
@@ -70,7 +77,8 @@
 
     `on_done` is called once, with the `Response` and None or with None and the
     error that `HttpClient.send` would raise. It is not called after `cancel`.
-    `deadline` is in seconds of the event loop's clock, or None.
+    `deadline` is in seconds of the event loop's clock, or None. It holds for the whole
+    response: a body that its server has not sent by then is cut.
     """
 
     __slots__ = ("head", "body", "accepts", "is_head_request", "deadline", "on_done",
@@ -281,6 +289,11 @@
             if len(message.received) >= HIGH_WATER_BYTES:
                 self._open_pipe(message)
             return
+        if message.is_late:
+            message.late_bytes += len(data)
+            if message.late_bytes > MAX_LATE_BYTES:
+                self._end_late()
+                return
         message.pipe.feed(data)
         if message.pipe.is_full:
             self._pause()
@@ -314,9 +327,7 @@
     def abort(self):
         """Close at once, so that the server sees that the request is abandoned."""
         self.is_reusable = False
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._cancel_timer()
         if self._sender is not None:
             self._sender.cancel()
         if self._transport is not None:
@@ -349,11 +360,15 @@
             memory=self._client.memory,
         )
         pipe.feed(bytes(message.received))
+        deadline = self._exchange.deadline
         response, message.response = message.response, _DELIVERED
         message.received = bytearray()
         message.headers = []
         self._account.resize(0)
         self._deliver(response, pipe)
+        if deadline is not None:
+            # The rest of the body has the same time limit.
+            self._timer = self._loop.call_at(deadline, self._time_out)
         self._pause()
 
     def _deliver(self, response, body):
@@ -362,9 +377,7 @@
 
     def _finish(self, response, error):
         exchange, self._exchange = self._exchange, None
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._cancel_timer()
         if exchange is not None:
             exchange.on_done(response, error)
 
@@ -377,19 +390,34 @@
             # follows on this connection as the rest of the body.
             self.is_reusable = False
         if message.pipe is not None:
+            self._cancel_timer()
             message.pipe.end()
             return
         self._account.resize(0)
         self._deliver(message.response, bytes(message.received))
         self._release()
 
+    def _cancel_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _evict(self):
         """Give up a response, since the process holds too much."""
         self._fail(ConnectionLostError("evicted"))
         self.abort()
 
     def _time_out(self):
+        self._timer = None
+        message = self._message
+        if self._is_paused and message is not None:
+            message.is_late = True
+        else:
+            self._end_late()
+
+    def _end_late(self):
         self._fail(TimeoutError())
+        self.abort()
 
     def _fail(self, error):
         message, self._message = self._message, None
@@ -421,6 +449,11 @@
             self._is_paused = False
             if not self.is_lost:
                 self._transport.resume_reading()
+                if message is not None and message.is_late:
+                    self._cancel_timer()
+                    self._timer = self._loop.call_later(
+                        LATE_READ_SECONDS, self._time_out
+                    )
 
     def _pause(self):
         if not self._is_paused and not self.is_lost:
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -457,3 +457,58 @@
                 return len(client._idle)
 
         assert asyncio.run(run()) == kept
+
+
+class TestTimeLimitOfBodies:
+    """Guards against answers that keep their clients waiting past the time limit."""
+
+    TIME_LIMIT_SECONDS = 0.5
+
+    @pytest.mark.parametrize("is_read", [True, False], ids=["read", "unread"])
+    @pytest.mark.parametrize(
+        ("parts", "interval", "is_whole"),
+        [
+            # Stops halfway.
+            ([b"x" * 100_000], 60.0, False),
+            # Has no end.
+            ([b"x" * 100_000] * 500, 0.02, False),
+            ([b"x" * 100_000, b"x" * 10, b""], 0.0, True),
+        ],
+        ids=["halfway", "endless", "sound"],
+    )
+    def test_answer_that_does_not_end_outlasts_its_time_limit(
+        self, parts, interval, is_whole, is_read
+    ):
+        left = []
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            for part in parts:
+                writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+                await asyncio.sleep(interval / 10)
+                if writer.transport.is_closing():
+                    break
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(reader.read(1), interval or 0.001)
+            left.append(writer.transport.is_closing() or reader.at_eof())
+            writer.close()
+
+        async def run():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()[:2]
+            async with asyncio.timeout(HANG_SECONDS), HttpClient(address) as client:
+                response = await client.send(
+                    HEAD % b"1", timeout=self.TIME_LIMIT_SECONDS
+                )
+                if not is_read:
+                    await asyncio.sleep(2 * self.TIME_LIMIT_SECONDS)
+                body = await read_body(response)
+                server.close()
+                return len(body)
+
+        if is_whole:
+            assert asyncio.run(run()) == sum(map(len, parts))
+        else:
+            with pytest.raises(BodyCutError):
+                asyncio.run(run())
