Keep answers that have begun while their peer stands still

Cause: a silent stream stays open for calls without an answer that are not idempotent, but not for answers that have begun, which no second attempt can replace. It now stays open for them too, up to the time limit of their calls.

--- a/src/ragworthoist/net/calls.py
+++ b/src/ragworthoist/net/calls.py
@@ -15,7 +15,8 @@
     `body` collects the body of the answer; `length` is its declared length in bytes.
     `is_abandoned` tells whether the call ended because the peer was unresponsive.
     `is_query` marks a query about members or the configuration. `account` counts what
-    is held of the answer besides a streamed body.
+    is held of the answer besides a streamed body. `deadline` is that of the call, in
+    seconds of the node's clock.
     """
 
     completion: asyncio.Future
@@ -26,6 +27,7 @@
     is_abandoned: bool = False
     is_query: bool = False
     account: object = None
+    deadline: float = 0.0
 
     @property
     def must_be_awaited(self):
--- a/src/ragworthoist/net/streams.py
+++ b/src/ragworthoist/net/streams.py
@@ -144,7 +144,9 @@
             return refuse(reason, call)
         call_id = self._take_id()
         pending = self._pending[call_id] = PendingCall(
-            self._loop.create_future(), idempotent=call.idempotent
+            self._loop.create_future(),
+            idempotent=call.idempotent,
+            deadline=call.deadline,
         )
         timer = self._loop.call_later(remaining + ANSWER_GRACE_SECONDS, pending.finish)
         frame_version = self._handshake.frame_version
@@ -221,8 +223,9 @@
         """Send a check to a silent peer, and act on a check without an answer.
 
         Idempotent calls end once the peer is unresponsive. The stream is closed
-        after a longer silence, unless calls that are not idempotent are in progress:
-        the peer may only be paused, and each of them ends at its deadline.
+        after a longer silence, unless calls that are not idempotent are in progress, or
+        answers have begun: the peer may only be paused, and no second attempt can
+        replace them. Each of them ends at its deadline.
         """
         if self.is_closed or not self._is_established:
             return
@@ -231,13 +234,15 @@
             self._send([int(FrameKind.CHECK), 0, None])
         elif verdict is Verdict.DOUBTFUL:
             self._end_idempotent_calls()
-        elif verdict is Verdict.SILENT and not self._must_stay_open():
+        elif verdict is Verdict.SILENT and not self._must_stay_open(now):
             self.close()
 
-    def _must_stay_open(self):
-        return any(
-            pending.must_be_awaited for pending in self._pending.values()
-        ) or any(not inbound.call.idempotent for inbound in self._inbound.values())
+    def _must_stay_open(self, now):
+        return (
+            any(pending.must_be_awaited for pending in self._pending.values())
+            or any(begun.deadline > now for begun in self._receiving.values())
+            or any(not inbound.call.idempotent for inbound in self._inbound.values())
+        )
 
     def _end_idempotent_calls(self):
         """End the idempotent calls, which can be retried elsewhere without delay."""
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -17,6 +17,7 @@
 from ragworthoist.core.entities import Call, Outcome, Reason, refuse
 from ragworthoist.core.memory import MemoryBudget
 from ragworthoist.events import Event
+from ragworthoist.exceptions import BodyCutError
 from ragworthoist.net.bodies import BodyPipe
 from ragworthoist.net.frames import MAX_BODY_BYTES, FrameKind, pack_call
 from ragworthoist.net.liveness import (
@@ -94,6 +95,17 @@
         await super()._answer(call, reply)
 
 
+class StreamingNode(FakeNode):
+    """Begins each answer, whose `body` the test ends."""
+
+    streams_bodies = True
+
+    async def _answer(self, call, reply):
+        self.body = BodyPipe()
+        self.body.feed(b"x" * 70_000)
+        reply(complete(self.body))
+
+
 class CutTransport:
     """Transport that closes the connection after `limit` bytes have been sent."""
 
@@ -471,6 +483,51 @@
             assert answer.outcome is Outcome.COMPLETED
             assert ended_calls == []
 
+    @pytest.mark.parametrize("idempotent", [True, False])
+    @pytest.mark.parametrize(("silence", "is_cut"), [(3.0, False), (30.0, True)])
+    def test_answer_that_has_begun_is_cut_while_the_peer_is_silent(
+        self, idempotent, silence, is_cut
+    ):
+        """It ends at the deadline of its call at the latest."""
+        clock = FakeClock()
+
+        async def scenario(stream, acceptor):
+            transport = stream._transport
+            call = make_call(deadline=clock() + 10.0)
+            call.idempotent = idempotent
+            answer = await stream.call(call)
+            stream._transport = SilentTransport(transport)
+            for seconds in (
+                IDLE_CHECK_DELAY_SECONDS + 0.01,
+                UNRESPONSIVE_AFTER_SECONDS + 0.01,
+                silence,
+            ):
+                clock.passed += seconds
+                stream.check(clock())
+            assert stream.is_closed is is_cut
+            stream._transport = transport
+            acceptor.body.feed(b"y")
+            acceptor.body.end()
+            received = b""
+            while part := await answer.body.read():
+                received += part
+            return received
+
+        initiator = FakeNode(b"initiat0")
+        initiator.clock = clock
+        initiator.streams_bodies = True
+        acceptor = StreamingNode(b"accept00")
+
+        def run():
+            return anyio.run(lambda: run_pair(scenario, initiator, acceptor))
+
+        if is_cut:
+            with pytest.raises(BaseExceptionGroup) as caught:
+                run()
+            assert caught.group_contains(BodyCutError)
+        else:
+            assert run() == b"x" * 70_000 + b"y"
+
     def test_unsafe_call_to_a_peer_that_reads_nothing_for_seconds_is_answered(self):
         """Guards against a reset of the streams to a peer that is only paused."""
 
