Wait for answers that are still sent to peers before a planned stop

Cause: a call counts as in progress until its answer begins, and the drain waited for nothing after that. It now waits for the calls and bodies on the streams of peers too, up to the time at which the process has to exit.

--- a/src/ragworthoist/edge/node.py
+++ b/src/ragworthoist/edge/node.py
@@ -391,7 +391,10 @@
         self.forwarder.is_leaving = True
         await self.entrance.stop_accepting()
         while self.clock() < stop.exits_at and (
-            self.in_progress or self.entrance.connections
+            self.in_progress
+            or self.entrance.connections
+            # Answers that are still sent to peers.
+            or self.peers.calls_in_progress
         ):
             await anyio.sleep(DRAIN_POLL_SECONDS)
         await self.datagrams.send(self.membership.announce_left(self.clock()))
--- a/tests/lab/test_mesh.py
+++ b/tests/lab/test_mesh.py
@@ -353,6 +353,31 @@
         response = asyncio.run(send_attempt(stopped, "GET", "/shop/x", "again"))
         assert response[0] == 200
 
+    def test_planned_stop_cuts_long_answers_to_clients_of_other_nodes(self):
+        count = 6
+        answers = {"answer_bytes": 600_000, "part_bytes": 50_000, "part_seconds": 0.3}
+
+        async def send_and_stop(mesh, entrance, stopped):
+            sending = [
+                asyncio.ensure_future(
+                    send_attempt(entrance, "GET", "/stock/x", f"long-{number}")
+                )
+                for number in range(count)
+            ]
+            await asyncio.to_thread(
+                wait_until, lambda: len(mesh.read_records()) == count
+            )
+            code = await asyncio.to_thread(mesh.stop_node, stopped)
+            return code, [len(answer[2]) for answer in await asyncio.gather(*sending)]
+
+        with Mesh({"shop": 1, "stock": 1}) as mesh:
+            mesh.configure(RULES)
+            mesh.wait_until_ready()
+            entrance, stopped = mesh.endpoints
+            mesh.control_server(stopped, "behaviour", answers)
+            found = asyncio.run(send_and_stop(mesh, entrance, stopped))
+        assert found == (0, [answers["answer_bytes"]] * count)
+
     @pytest.mark.parametrize(
         "signals",
         [
